--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: latency, decisions under load, slopes."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole path shown with stand-ins."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the tree mirrors the package."""
--- /dev/null
+++ b/whinwinch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of callers over HTTP."""
--- /dev/null
+++ b/whinwinch/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Calls and gossip between daemons."""
--- /dev/null
+++ b/whinwinch/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Client side of the platform's append-only log service."""
--- /dev/null
+++ b/whinwinch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The resource API that operators and their tooling use."""
