--- /dev/null
+++ b/whinwinch/backends/gatekeeper.py
@@ -0,0 +1,284 @@
+"""Guards the own backend server: admission, wait, claim, run, answer."""
+
+import threading
+from typing import NamedTuple
+
+from .. import attempts, decisions, gate, messages
+from ..claims import Verdict as ClaimVerdict
+from ..messages import Answer, Outcome, Reason
+from .client import BackendClient
+
+# While the log is slow, work that waits for its claim holds slots. This share
+# keeps it from holding them all: reads would starve though their backend
+# server is idle.
+CLAIMING_SHARE = 0.25
+# How long a caller should stay away when nothing better is known.
+DEFAULT_RETRY_AFTER = 1.0
+
+
+class Waiter(NamedTuple):
+    """A thread that waits for the gate's decision, and where it finds it."""
+
+    event: threading.Event
+    decided: list
+
+
+class Gatekeeper:
+    """The state around one backend server; safe to use from threads.
+
+    Args:
+        clock: Returns the loop's time in seconds.
+        claim: Takes a `Request`, returns a `claims.Verdict`; blocks while the
+            log decides, at most until the deadline.
+        note_end: Takes a `Request` and its `Answer`; notes in the log how
+            claimed work ended.
+        ledger: `retries.Ledger` of the attempts inside, `guarded`.
+        running: `running.Running`.
+        lifecycle: Tells whether new work is taken.
+        max_body: Largest answer taken, in bytes.
+    """
+
+    def __init__(self, clock, claim, note_end, ledger, running, lifecycle, max_body):
+        self._clock = clock
+        self._claim = claim
+        self._note_end = note_end
+        self._ledger = ledger
+        self._running = running
+        self._lifecycle = lifecycle
+        self._max_body = max_body
+        self._lock = threading.Lock()
+        self._gate = None
+        self._client = None
+        self._attempts = attempts.Attempts()
+        self._waiters = {}
+        self._claiming = 0
+        self.service = ""
+
+    def install(self, announcement):
+        """Guard the backend server of an announcement, or none."""
+        with self._lock:
+            if announcement is None:
+                self._client = None
+                self.service = ""
+                return
+            self.service = announcement.service
+            self._client = BackendClient(
+                announcement.address, announcement.connections, self._max_body
+            )
+            if self._gate is None:
+                self._gate = gate.Gate(announcement.slots)
+                return
+            resized = self._gate.resize(announcement.slots, self._clock())
+        self._deliver(resized)
+
+    def has_room(self):
+        """Return whether a request would be admitted without a wait."""
+        with self._lock:
+            if self._client is None or not self._lifecycle.takes_work():
+                return False
+            load = self._gate.load(self._clock())
+        return not load.waiting and load.in_service < load.limit
+
+    def load(self):
+        """Return the load of the backend server as the gate sees it."""
+        with self._lock:
+            if self._gate is None:
+                return messages.Load()
+            return self._gate.load(self._clock())
+
+    def serve(self, request):
+        """Serve one attempt and return its answer."""
+        decision, waiter = self._offer(request)
+        if waiter is not None:
+            decision = self._wait(request, waiter, decision.expires)
+        if decision.verdict is not gate.Verdict.ADMIT:
+            return self._refuse(request, decision)
+        return self._serve_admitted(request)
+
+    def expire(self):
+        """Refuse waiting requests whose time is over; called now and then."""
+        with self._lock:
+            expired = self._gate.expire(self._clock()) if self._gate else ()
+        self._deliver(expired)
+
+    def _offer(self, request):
+        """Return the gate's decision and, when it is to wait, the waiter."""
+        now = self._clock()
+        with self._lock:
+            reason = self._check(request, now)
+            if reason is not None:
+                return _build_refusal(request, reason), None
+            decision = self._gate.offer(request, now)
+            if decision.verdict is not gate.Verdict.WAIT:
+                return decision, None
+            waiter = Waiter(threading.Event(), [])
+            self._waiters[request.attempt] = waiter
+            return decision, waiter
+
+    def _check(self, request, now):
+        """Return why a request can't be taken at all, or None."""
+        if not self._lifecycle.takes_work():
+            return Reason.LEAVING
+        if self._client is None or request.service != self.service:
+            return Reason.NO_ENDPOINT
+        if request.deadline <= now:
+            return Reason.DEADLINE
+        if not self._attempts.note(request.attempt, now):
+            return Reason.ABANDONED
+        return None
+
+    def _wait(self, request, waiter, expires):
+        """Wait until the gate has decided; it has by `expires` at the latest."""
+        waiter.event.wait(max(0.0, expires - self._clock()))
+        if not waiter.event.is_set():
+            self.expire()
+        if not waiter.event.is_set():
+            self._withdraw(request)
+        with self._lock:
+            self._waiters.pop(request.attempt, None)
+        if waiter.decided:
+            return waiter.decided[0]
+        return _build_refusal(request, Reason.DEADLINE)
+
+    def _withdraw(self, request):
+        """Take a waiting request out of the gate, for good."""
+        with self._lock:
+            woken = self._gate.withdraw(request.attempt, self._clock())
+        self._deliver(woken)
+
+    def _deliver(self, woken):
+        """Hand the gate's decisions to the threads that wait for them."""
+        for decision in woken:
+            with self._lock:
+                waiter = self._waiters.get(decision.attempt)
+            if waiter is not None:
+                waiter.decided.append(decision)
+                waiter.event.set()
+
+    def _serve_admitted(self, request):
+        started = self._clock()
+        answer = None
+        try:
+            answer = self._claim_and_run(request)
+        finally:
+            self._leave(request, answer, started)
+        return answer._replace(load=self._describe_load(answer.load.below))
+
+    def _leave(self, request, answer, started):
+        now = self._clock()
+        ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
+        succeeded = ran and answer.outcome is Outcome.COMPLETED and answer.status < 500
+        with self._lock:
+            woken = self._gate.finish(
+                request.attempt, now, now - started if ran else None, succeeded
+            )
+        self._deliver(woken)
+
+    def _claim_and_run(self, request):
+        if not request.key:
+            return self._run(request)
+        verdict = self._claim_within_share(request)
+        decisions.log_decision(
+            decisions.Claimed(request.root, request.attempt, request.key, verdict.name)
+        )
+        if verdict is not ClaimVerdict.WON:
+            return _answer_claim(request, verdict)
+        answer = self._run(request)
+        self._note_end(request, answer)
+        return answer
+
+    def _claim_within_share(self, request):
+        with self._lock:
+            limit = max(1, int(self._gate.load(self._clock()).limit * CLAIMING_SHARE))
+            if self._claiming >= limit:
+                return ClaimVerdict.LOG_DOWN
+            self._claiming += 1
+        try:
+            return self._claim(request)
+        finally:
+            with self._lock:
+                self._claiming -= 1
+
+    def _run(self, request):
+        """Hand the request to the backend server."""
+        # Read again after the wait and the claim: a process that was paused
+        # there must not start work that its caller has given up on.
+        left = request.deadline - self._clock()
+        client = self._client
+        if left <= 0 or client is None:
+            reason = Reason.DEADLINE if left <= 0 else Reason.NO_ENDPOINT
+            return _build_not_run(request, reason)
+        with self._ledger as ledger:
+            ledger.open(request.attempt, request.budget, request.deadline)
+        self._running.start(request)
+        answer = client.forward(request, left)
+        below = self._running.finish(request.attempt)
+        return self._complete_answer(request, answer, below)
+
+    def _complete_answer(self, request, answer, below):
+        """Add what the calls below have met and return the unused budget."""
+        with self._ledger as ledger:
+            unused = ledger.close(request.attempt)
+        if answer.outcome is Outcome.NOT_RUN:
+            unused = request.budget
+        answer = answer._replace(unused=unused, load=messages.Load(below=below.level))
+        if answer.status < 500 or not below.refused:
+            return answer
+        return answer._replace(
+            deeper=True, reason=Reason.DEEPER, retry_after=below.retry_after
+        )
+
+    def _describe_load(self, below):
+        return self.load()._replace(below=below)
+
+    def _refuse(self, request, decision):
+        decisions.log_decision(
+            decisions.Refused(
+                request.root,
+                request.attempt,
+                request.service,
+                request.call,
+                request.importance.name,
+                decision.reason.value,
+                decision.retry_after,
+                "gatekeeper",
+            )
+        )
+        answer = _build_not_run(request, decision.reason, decision.retry_after)
+        if decision.reason is Reason.ABANDONED:
+            # The first copy of this message may be running.
+            answer = answer._replace(outcome=Outcome.UNKNOWN, unused=0)
+        return answer._replace(load=self.load())
+
+
+def _build_refusal(request, reason):
+    return gate.Decision(
+        request.attempt, gate.Verdict.REFUSE, reason, DEFAULT_RETRY_AFTER, 0.0
+    )
+
+
+def _build_not_run(request, reason, retry_after=DEFAULT_RETRY_AFTER):
+    return Answer(
+        request.attempt,
+        Outcome.NOT_RUN,
+        reason,
+        status=503,
+        unused=request.budget,
+        retry_after=retry_after,
+    )
+
+
+def _answer_claim(request, verdict):
+    """Return the answer for work that this gatekeeper may not run."""
+    if verdict is ClaimVerdict.LOST:
+        # Another attempt of the same key may have run it: not this one, but
+        # the caller asks about the work, not about the attempt.
+        return Answer(
+            request.attempt,
+            Outcome.UNKNOWN,
+            Reason.KEY_CLAIMED,
+            status=409,
+            unused=request.budget,
+        )
+    reason = Reason.KEY_AGE if verdict is ClaimVerdict.STALE else Reason.LOG_DOWN
+    return _build_not_run(request, reason)
--- /dev/null
+++ b/whinwinch/decisions.py
@@ -0,0 +1,84 @@
+"""Log lines of routing and placement decisions, one for each."""
+
+from typing import NamedTuple
+
+from absl import logging
+
+
+class Placed(NamedTuple):
+    """A request was sent to an endpoint."""
+
+    root: str
+    attempt: str
+    service: str
+    call: str
+    importance: str
+    endpoint: str
+    zone: str
+    ground: str
+    tries: int
+
+
+class Refused(NamedTuple):
+    """A request was refused without having been run."""
+
+    root: str
+    attempt: str
+    service: str
+    call: str
+    importance: str
+    reason: str
+    retry_after: float
+    at: str
+
+
+class Answered(NamedTuple):
+    """An attempt was answered, and what follows from it."""
+
+    root: str
+    attempt: str
+    service: str
+    endpoint: str
+    outcome: str
+    reason: str
+    status: int
+    seconds: float
+    again: bool
+    ground: str
+
+
+class Claimed(NamedTuple):
+    """The log has decided who runs a piece of non-idempotent work."""
+
+    root: str
+    attempt: str
+    key: str
+    verdict: str
+
+
+def log_decision(decision):
+    """Log a decision as one line: its kind, then key=value for each field."""
+    if logging.get_verbosity() >= logging.INFO:
+        logging.info("%s", format_decision(decision))
+
+
+def format_decision(decision):
+    """Return the line for a decision.
+
+    Values are quoted where they hold a space, a quote or a line break: a
+    caller's text must not be able to forge a second line.
+    """
+    kind = type(decision).__name__.lower()
+    pairs = (
+        f"{name}={_format_value(value)}" for name, value in decision._asdict().items()
+    )
+    return f"{kind} {' '.join(pairs)}"
+
+
+def _format_value(value):
+    if isinstance(value, float):
+        return f"{value:.6f}"
+    text = str(value)
+    if text.isprintable() and not any(mark in text for mark in ' "='):
+        return text
+    return ascii(text)
--- /dev/null
+++ b/whinwinch/router.py
@@ -0,0 +1,373 @@
+"""Routing of one call: level, endpoint, attempt, and whether to try again."""
+
+import threading
+import time
+from typing import NamedTuple
+
+from . import decisions, messages, retries
+from .messages import Answer, Outcome, Reason, Request
+
+# Chains are up to 16 deep. A request that has passed twice as many services
+# goes round in a loop, which would otherwise end only at its deadline.
+DEEPEST_PATH = 32
+
+
+class Incoming(NamedTuple):
+    """A checked call as a caller or the own backend server makes it.
+
+    Attributes:
+        identifier: The request id given by the caller, "" for none.
+        service: Name of the service wanted.
+        method: HTTP method.
+        path: Path and query at the backend server.
+        importance: Highest importance that the caller asks for, None for none.
+        timeout: Seconds that the caller waits, None for the service's own.
+        key: Idempotency key, "" for none.
+        caller: Name of the caller.
+        headers: Pairs of header name and value for the backend server.
+        body: The whole body.
+    """
+
+    identifier: str
+    service: str
+    method: str
+    path: str
+    importance: messages.Importance | None = None
+    timeout: float | None = None
+    key: str = ""
+    caller: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class Routed(NamedTuple):
+    """The end of a call.
+
+    Attributes:
+        answer: The answer of the last attempt.
+        root: Identifier of the root request.
+        retries: Retries that the call has caused, over all hops; an upper
+            bound where an answer was lost.
+        call: Name of the call in the service's resource.
+        importance: Importance with which it was admitted.
+    """
+
+    answer: Answer
+    root: str
+    retries: int
+    call: str = ""
+    importance: messages.Importance = messages.Importance.NORMAL
+
+
+class Places(NamedTuple):
+    """Where attempts can be sent.
+
+    Attributes:
+        own: Identifier of the own daemon.
+        find_endpoints: Takes a service, returns its endpoints.
+        has_room: Returns whether the own backend server has a free slot.
+        serve: Serves an attempt at the own backend server.
+        call: Sends an attempt to another daemon's address.
+    """
+
+    own: str
+    find_endpoints: object
+    has_room: object
+    serve: object
+    call: object
+
+
+class Router:
+    """Routes calls of callers and of the own backend server.
+
+    Args:
+        clock: Returns the loop's time in seconds.
+        places: `Places`.
+        find_service: Takes a name, returns its `resources.ServiceSpec`.
+        match_call: Takes a spec, method and path, returns its `CallSpec`.
+        placement: `placement.Placement`, guarded.
+        levels: `levels.Levels`, guarded.
+        ledger: `retries.Ledger`, guarded.
+        running: `running.Running`.
+        random: Function that returns a float from 0 to 1, for back-off.
+        key_window: Seconds for which an idempotency key is good at most.
+        check_key: Takes a key and a window in seconds, returns a `Reason`.
+        note: Takes an `Incoming`, its `Routed` and the seconds it took.
+    """
+
+    def __init__(
+        self,
+        clock,
+        places,
+        find_service,
+        match_call,
+        placement,
+        levels,
+        ledger,
+        running,
+        random,
+        key_window,
+        check_key,
+        note,
+    ):
+        self._clock = clock
+        self._places = places
+        self._find_service = find_service
+        self._match_call = match_call
+        self._placement = placement
+        self._levels = levels
+        self._ledger = ledger
+        self._running = running
+        self._random = random
+        self._key_window = key_window
+        self._check_key = check_key
+        self._note = note
+        self._in_flight = 0
+        self._lock = threading.Lock()
+
+    @property
+    def in_flight(self):
+        """Calls that have not been answered yet."""
+        return self._in_flight
+
+    def route_root(self, incoming):
+        """Route a call from outside; returns a `Routed`."""
+        spec = self._find_service(incoming.service)
+        call = self._match_call(spec, incoming.method, incoming.path)
+        now = self._clock()
+        request = Request(
+            attempt=messages.new_identifier(),
+            root=incoming.identifier or messages.new_identifier(),
+            service=incoming.service,
+            call=call.name,
+            method=incoming.method,
+            path=incoming.path,
+            importance=_lower_importance(call.importance, incoming.importance),
+            deadline=now + _limit_timeout(incoming.timeout, spec.timeout),
+            key="" if call.idempotent else incoming.key,
+            repeatable=call.repeatable,
+            budget=spec.retry_budget,
+            caller=incoming.caller,
+            headers=incoming.headers,
+            body=incoming.body,
+        )
+        with self._ledger as ledger:
+            ledger.open(request.attempt, request.budget, request.deadline)
+        return self._route_counted(request, incoming, call, request.attempt)
+
+    def route_nested(self, incoming, holder):
+        """Route a call that the request `holder` makes from inside."""
+        spec = self._find_service(incoming.service)
+        call = self._match_call(spec, incoming.method, incoming.path)
+        now = self._clock()
+        request = Request(
+            attempt=messages.new_identifier(),
+            root=holder.root,
+            service=incoming.service,
+            call=call.name,
+            method=incoming.method,
+            path=incoming.path,
+            importance=max(holder.importance, call.importance),
+            deadline=min(
+                holder.deadline, now + _limit_timeout(incoming.timeout, spec.timeout)
+            ),
+            key="" if call.idempotent else incoming.key,
+            repeatable=call.repeatable,
+            caller=holder.caller,
+            via=(*holder.via, holder.service),
+            headers=incoming.headers,
+            body=incoming.body,
+        )
+        routed = self._route_counted(request, incoming, call, holder.attempt)
+        self._running.note_answer(holder.attempt, routed.answer)
+        return routed
+
+    def _route_counted(self, request, incoming, call, holder):
+        started = self._clock()
+        with self._lock:
+            self._in_flight += 1
+        try:
+            answer = self._check_and_route(request, incoming, call, holder)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+            unused = self._close_root(request, holder)
+        caused = max(0, request.budget - unused)
+        routed = Routed(answer, request.root, caused, call.name, request.importance)
+        self._note(incoming, routed, self._clock() - started)
+        return routed
+
+    def _close_root(self, request, holder):
+        """Return what a root request has left; a nested call holds nothing."""
+        if holder != request.attempt:
+            return 0
+        with self._ledger as ledger:
+            return ledger.close(holder)
+
+    def _check_and_route(self, request, incoming, call, holder):
+        reason = self._check(request, incoming, call)
+        if reason is not Reason.NONE:
+            status = 400 if reason is Reason.BAD_REQUEST else 422
+            return _refuse(request, reason, status=status)
+        if len(request.via) >= DEEPEST_PATH:
+            return _refuse(request, Reason.BAD_REQUEST, status=508)
+        return self._try_endpoints(request, holder)
+
+    def _check(self, request, incoming, call):
+        """Return why the key of a non-idempotent call can't be taken."""
+        if call.idempotent:
+            return Reason.NONE
+        if not incoming.key:
+            return Reason.BAD_REQUEST
+        window = min(call.key_window, self._key_window)
+        return self._check_key(incoming.key, window)
+
+    def _try_endpoints(self, request, holder):
+        """Try until an answer stands; each try is an attempt of its own."""
+        tries = 0
+        tried = frozenset()
+        while True:
+            refused = self._refuse_by_level(request)
+            if refused is not None:
+                return refused
+            choice = self._choose(request, tried)
+            if choice.endpoint is None:
+                return self._log_refusal(request, Reason.NO_ENDPOINT, 1.0)
+            attempt = self._build_attempt(request, holder)
+            answer = self._send(attempt, choice, tries)
+            tries += 1
+            tried |= {choice.endpoint.daemon}
+            if not self._tries_again(attempt, answer, holder, tries, choice):
+                return answer
+
+    def _refuse_by_level(self, request):
+        with self._levels as levels:
+            decision = levels.refuse(request, self._clock())
+        if decision is None:
+            return None
+        return self._log_refusal(request, decision.reason, decision.retry_after)
+
+    def _choose(self, request, tried):
+        """Choose an endpoint; the own one while it has room, to save a hop."""
+        endpoints = self._places.find_endpoints(request.service)
+        for endpoint in endpoints:
+            is_own = endpoint.daemon == self._places.own
+            if is_own and endpoint.daemon not in tried and self._places.has_room():
+                return Choice(endpoint, "own endpoint has room")
+        with self._placement as placement:
+            return placement.choose(request, endpoints, self._clock(), tried)
+
+    def _build_attempt(self, request, holder):
+        """Return the request as an attempt with its part of the budget."""
+        attempt = messages.new_identifier()
+        with self._ledger as ledger:
+            granted = ledger.grant(holder, attempt)
+        return request._replace(attempt=attempt, budget=granted)
+
+    def _send(self, attempt, choice, tries):
+        endpoint = choice.endpoint
+        decisions.log_decision(
+            decisions.Placed(
+                attempt.root,
+                attempt.attempt,
+                attempt.service,
+                attempt.call,
+                attempt.importance.name,
+                endpoint.address,
+                endpoint.zone,
+                choice.ground,
+                tries,
+            )
+        )
+        started = self._clock()
+        with self._placement as placement:
+            placement.start(endpoint.daemon, started)
+        answer = self._serve_or_call(attempt, endpoint)
+        ended = self._clock()
+        with self._placement as placement:
+            placement.observe(endpoint.daemon, answer, ended - started, ended)
+        with self._levels as levels:
+            levels.learn(attempt.service, attempt.call, answer.load, ended)
+        return answer
+
+    def _serve_or_call(self, attempt, endpoint):
+        if endpoint.daemon == self._places.own:
+            return self._places.serve(attempt)
+        return self._places.call(endpoint.address, attempt)
+
+    def _tries_again(self, attempt, answer, holder, tries, choice):
+        """Settle the budget of an attempt; return whether to try again."""
+        now = self._clock()
+        with self._ledger as ledger:
+            ledger.give_back(attempt.attempt, answer.unused)
+            remaining = ledger.get_remaining(holder)
+            decision = retries.decide_retry(
+                attempt, answer, remaining, tries - 1, now, self._random
+            )
+            again = decision.again and ledger.take(holder)
+        self._log_answer(attempt, answer, choice, again, decision.ground)
+        if again and decision.delay:
+            time.sleep(decision.delay)
+        return again
+
+    def _log_answer(self, attempt, answer, choice, again, ground):
+        decisions.log_decision(
+            decisions.Answered(
+                attempt.root,
+                attempt.attempt,
+                attempt.service,
+                choice.endpoint.address,
+                answer.outcome.value,
+                answer.reason.value,
+                answer.status,
+                attempt.deadline - self._clock(),
+                again,
+                ground,
+            )
+        )
+
+    def _log_refusal(self, request, reason, retry_after):
+        decisions.log_decision(
+            decisions.Refused(
+                request.root,
+                request.attempt,
+                request.service,
+                request.call,
+                request.importance.name,
+                reason.value,
+                retry_after,
+                "entry",
+            )
+        )
+        return _refuse(request, reason, retry_after)
+
+
+class Choice(NamedTuple):
+    """The endpoint chosen and why; as `placement.Choice`."""
+
+    endpoint: messages.Endpoint
+    ground: str
+
+
+def _refuse(request, reason, retry_after=0.0, status=503):
+    return Answer(
+        request.attempt,
+        Outcome.NOT_RUN,
+        reason,
+        status=status,
+        unused=request.budget,
+        retry_after=retry_after,
+    )
+
+
+def _lower_importance(declared, asked):
+    """A caller may lower what the resource declares, never raise it."""
+    if asked is None:
+        return declared
+    return min(declared, asked)
+
+
+def _limit_timeout(asked, longest):
+    if asked is None:
+        return longest
+    return min(asked, longest)
