--- /dev/null
+++ b/test/test_gate.py
@@ -0,0 +1,93 @@
+"""Tests of the gate of one backend server."""
+
+import unittest
+
+from whinwinch import gate, messages
+
+
+def make_request(name, importance=messages.Importance.NORMAL, deadline=10.0, **more):
+    return messages.Request(
+        attempt=name,
+        root=name,
+        service="catalog",
+        call="list",
+        method="GET",
+        path="/list",
+        importance=importance,
+        deadline=deadline,
+        **more,
+    )
+
+
+def fill(guard, count, now=0.0, **more):
+    return [guard.offer(make_request(f"fill{i}", **more), now) for i in range(count)]
+
+
+class GateTest(unittest.TestCase):
+    def test_admits_up_to_the_slots_then_lets_wait(self):
+        guard = gate.Gate(2)
+        verdicts = [decision.verdict for decision in fill(guard, 3)]
+        self.assertEqual(
+            verdicts, [gate.Verdict.ADMIT, gate.Verdict.ADMIT, gate.Verdict.WAIT]
+        )
+        released = guard.finish("fill0", 0.1, 0.1, True)
+        self.assertEqual(released, (gate.Decision("fill2", gate.Verdict.ADMIT),))
+
+    def test_important_gets_the_slot_that_comes_free(self):
+        guard = gate.Gate(1)
+        fill(guard, 2)
+        guard.offer(make_request("royalty", messages.Importance.CRITICAL), 0.0)
+        (decision,) = guard.finish("fill0", 0.1, 0.1, True)
+        self.assertEqual(decision.attempt, "royalty")
+
+    def test_full_queue_drops_the_least_important(self):
+        """More requests come than may wait, the last of them a royalty payout.
+
+        Refused for coming last, the poet's payout would fail while readers who
+        browse are served.
+        """
+        guard = gate.Gate(1)
+        decisions = fill(guard, 40)
+        guard.expire(0.0)
+        waiting = {d.attempt for d in decisions if d.verdict is gate.Verdict.WAIT}
+        payout = make_request("royalty", messages.Importance.CRITICAL)
+        self.assertIs(guard.offer(payout, 0.0).verdict, gate.Verdict.WAIT)
+        (dropped,) = guard.expire(0.0)
+        self.assertIn(dropped.attempt, waiting)
+        self.assertIs(dropped.verdict, gate.Verdict.REFUSE)
+        self.assertGreater(dropped.retry_after, 0.0)
+
+    def test_refuses_at_once_what_cannot_meet_its_deadline(self):
+        """Work takes a second, and a caller gives up after a tenth of one.
+
+        Let in, the work would be done for nobody; refused only at the deadline,
+        the caller would have waited for a refusal.
+        """
+        guard = gate.Gate(2)
+        fill(guard, 2)
+        guard.finish("fill0", 1.0, 1.0, True)
+        late = make_request("late", deadline=1.1)
+        decision = guard.offer(late, 1.0)
+        self.assertIs(decision.verdict, gate.Verdict.REFUSE)
+        self.assertIs(decision.reason, messages.Reason.DEADLINE)
+
+    def test_expiry_refuses_what_waited_too_long(self):
+        guard = gate.Gate(1)
+        fill(guard, 2, deadline=5.0)
+        self.assertEqual(guard.next_expiry(), 5.0)
+        (decision,) = guard.expire(5.0)
+        self.assertIs(decision.verdict, gate.Verdict.REFUSE)
+        self.assertIsNone(guard.next_expiry())
+
+    def test_withdrawn_leaves_no_trace(self):
+        guard = gate.Gate(1)
+        fill(guard, 2)
+        self.assertEqual(guard.withdraw("fill1", 0.0), ())
+        self.assertEqual(guard.finish("fill0", 1.0, 1.0, True), ())
+        self.assertTrue(guard.is_idle())
+
+    def test_resize_admits_what_waits(self):
+        guard = gate.Gate(1)
+        fill(guard, 3)
+        released = guard.resize(3, 0.0)
+        self.assertEqual([d.verdict for d in released], [gate.Verdict.ADMIT] * 2)
--- /dev/null
+++ b/test/test_placement.py
@@ -0,0 +1,82 @@
+"""Tests of the choice of an endpoint."""
+
+import collections
+import random
+import unittest
+
+from whinwinch import messages, placement
+
+ENDPOINTS = tuple(
+    messages.Endpoint(f"d{i}", f"10.0.0.{i}:1", "catalog", "a", "r", 10)
+    for i in range(4)
+)
+REQUEST = messages.Request(
+    "x", "x", "catalog", "list", "GET", "/", messages.Importance.NORMAL, 10.0
+)
+
+
+def answer(**more):
+    return messages.Answer("x", messages.Outcome.COMPLETED, **more)
+
+
+def run(latencies, statuses, count=1000):
+    """Send one call at a time and count where they went."""
+    place = placement.Placement("a", random.Random(7))
+    chosen = collections.Counter()
+    now = 0.0
+    for _ in range(count):
+        daemon = place.choose(REQUEST, ENDPOINTS, now).endpoint.daemon
+        place.start(daemon, now)
+        now += latencies.get(daemon, 0.01)
+        reply = answer(status=statuses.get(daemon, 200))
+        place.observe(daemon, reply, latencies.get(daemon, 0.01), now)
+        chosen[daemon] += 1
+    return chosen
+
+
+class PlacementTest(unittest.TestCase):
+    def test_spreads_over_equals(self):
+        self.assertGreater(min(run({}, {}).values()), 150)
+
+    def test_slow_endpoint_gets_little(self):
+        """One of four endpoints answers ten times slower than its peers.
+
+        With an even spread every fourth page lags.
+        """
+        self.assertLess(run({"d1": 0.1}, {})["d1"], 20)
+
+    def test_quick_errors_attract_no_work(self):
+        """One endpoint fails at once, so it always looks the least busy.
+
+        Chosen for that, it would fail most requests.
+        """
+        self.assertLess(run({"d1": 0.0001}, {"d1": 500})["d1"], 20)
+
+    def test_work_goes_out_when_all_look_bad(self):
+        """Every endpoint fails, for instance because what they share is down.
+
+        Were all set aside, callers would be refused after it has come back.
+        """
+        chosen = run({}, dict.fromkeys(("d0", "d1", "d2", "d3"), 500))
+        self.assertEqual(sum(chosen.values()), 1000)
+
+    def test_leaving_and_excluded_get_nothing(self):
+        place = placement.Placement("a", random.Random(7))
+        leaving = ENDPOINTS[0]._replace(leaving=True)
+        choice = place.choose(REQUEST, (leaving, ENDPOINTS[1]), 0.0, frozenset({"d1"}))
+        self.assertIsNone(choice.endpoint)
+
+    def test_prefers_own_zone_while_it_has_room(self):
+        place = placement.Placement("a", random.Random(7))
+        far = ENDPOINTS[1]._replace(zone="b")
+        for _ in range(20):
+            choice = place.choose(REQUEST, (ENDPOINTS[0], far), 0.0)
+            self.assertEqual(choice.endpoint.daemon, "d0")
+
+    def test_departed_daemons_are_forgotten(self):
+        place = placement.Placement("a", random.Random(7))
+        for index in range(1000):
+            place.start(f"x{index}", 0.0)
+            place.observe(f"x{index}", answer(), 0.01, 0.0)
+        place.choose(REQUEST, ENDPOINTS, 1000.0)
+        self.assertEqual(len(place._records), 0)
--- /dev/null
+++ b/whinwinch/admission.py
@@ -0,0 +1,259 @@
+"""The limit on requests in service, and the admission level from the demand.
+
+Load pattern: demand above what the backend server carries, for longer than a
+queue can hold; a backend server that carries less than it announced. Without a
+level every excess request is worked on by all hops above and refused here;
+without an adapting limit the backend server queues inside itself, out of the
+reach of deadlines and importance.
+
+Grounds. The level is computed, not searched for: the hash of the root spreads
+the requests of one importance evenly, so the demand that is refused further up
+can be inferred from the part that arrives, whatever time a level takes to
+travel. A search by small steps has to be slower than that time or it swings
+between all and nothing. Only arrivals above every level sent out lately are
+counted, since below them some entries refuse and some don't.
+"""
+
+import collections
+import math
+
+from . import messages
+
+CLASSES = len(messages.Importance)
+SHORT_SECONDS = 0.25
+LONG_SECONDS = 2.0
+# Levels sent out within this time may still be in force at an entry.
+HISTORY_SECONDS = 1.0
+CHANGE_DEVIATIONS = 2.5
+
+
+class Window:
+    """Counts and exposure, both forgotten with one time constant in seconds."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self.counts = [0.0] * CLASSES
+        self.exposure = [0.0] * CLASSES
+
+    def advance(self, elapsed, widths):
+        """Forget for `elapsed` seconds, in which `widths` were visible."""
+        kept = math.exp(-elapsed / self._seconds)
+        gained = self._seconds * (1.0 - kept)
+        for index in range(CLASSES):
+            self.counts[index] *= kept
+            self.exposure[index] *= kept
+            self.exposure[index] += gained * widths[index]
+
+    def rate(self, index):
+        """Return requests a second of one importance, were none refused."""
+        if self.exposure[index] < 1e-9:
+            return 0.0
+        return self.counts[index] / self.exposure[index]
+
+
+class Demand:
+    """Demand of one group of callers, inferred from the part that arrives."""
+
+    def __init__(self, now):
+        self._time = now
+        self._short = Window(SHORT_SECONDS)
+        self._long = Window(LONG_SECONDS)
+        self._history = collections.deque()
+
+    def record(self, rank, now):
+        """Count one arrival, unless levels sent out hide some of its rank.
+
+        Returns:
+            How many arrivals this one stands for, 0 when it isn't counted.
+        """
+        self.advance(now)
+        highest = self._highest_level(now)
+        if rank < highest:
+            return 0.0
+        index = min(int(rank), CLASSES - 1)
+        self._short.counts[index] += 1.0
+        self._long.counts[index] += 1.0
+        return 1.0 / max(min(index + 1 - highest, 1.0), 0.01)
+
+    def note_level(self, level, now):
+        """Remember a level that was sent out."""
+        self.advance(now)
+        while self._history and self._history[-1][1] <= level:
+            self._history.pop()
+        self._history.append((now, level))
+
+    def advance(self, now):
+        """Bring both windows up to `now`."""
+        elapsed = now - self._time
+        if elapsed <= 0.0:
+            return
+        highest = self._highest_level(now)
+        widths = [min(max(i + 1 - highest, 0.0), 1.0) for i in range(CLASSES)]
+        self._short.advance(elapsed, widths)
+        self._long.advance(elapsed, widths)
+        self._time = now
+
+    def rates(self, now):
+        """Return the demand for each importance, in requests a second.
+
+        The long window is steadier; the short one takes its place when the two
+        differ by more than chance explains, as at a surge or its end.
+        """
+        self.advance(now)
+        return [self._rate(index) for index in range(CLASSES)]
+
+    def split(self, share, now):
+        """Hand a share of the demand over to a new group, and return that."""
+        self.advance(now)
+        part = Demand(now)
+        part._history.extend(self._history)
+        for mine, theirs in self._pair_windows(part):
+            theirs.exposure = list(mine.exposure)
+            theirs.counts = [count * share for count in mine.counts]
+            mine.counts = [count * (1.0 - share) for count in mine.counts]
+        return part
+
+    def merge(self, other, now):
+        """Take over the demand of another group."""
+        self.advance(now)
+        other.advance(now)
+        for mine, theirs in self._pair_windows(other):
+            for index in range(CLASSES):
+                mine.counts[index] += theirs.rate(index) * mine.exposure[index]
+
+    def _pair_windows(self, other):
+        return (self._short, other._short), (self._long, other._long)
+
+    def _rate(self, index):
+        long = self._long.rate(index)
+        exposure = self._short.exposure[index]
+        expected = long * exposure
+        difference = abs(self._short.counts[index] - expected)
+        if difference > CHANGE_DEVIATIONS * math.sqrt(expected / 2.0) + 1.0:
+            self._long.counts[index] = self._short.counts[index]
+            self._long.exposure[index] = exposure
+        return self._long.rate(index)
+
+    def _highest_level(self, now):
+        history = self._history
+        while len(history) > 1 and history[0][0] < now - HISTORY_SECONDS:
+            history.popleft()
+        return history[0][1] if history else 0.0
+
+
+class Limit:
+    """The limit on requests in service, from announced slots and latency seen.
+
+    The limit falls while the slots are full, latency has grown by more than
+    `SLOWER` over the lowest lately seen, and less concurrency doesn't cost
+    throughput; a step that cost throughput is taken back and tried again only
+    after a pause that doubles. A backend server that waits for a deep service
+    is slow without being overloaded: there the throughput shows that fewer
+    requests in service would be wrong.
+    """
+
+    SLOWER = 1.5
+    STEP = 0.9
+    LOSS = 0.95
+    MOST_PAUSE = 64
+
+    def __init__(self, slots, now=None):
+        self.slots = slots
+        self.value = slots
+        self._start = now
+        self._count = 0
+        self._time_sum = 0.0
+        self._full = 0
+        self._lowest = None
+        self._before = None
+        self._pause = 0
+        self._next_pause = 1
+
+    def resize(self, slots):
+        """Take a newly announced number of slots."""
+        self.value = max(1, round(self.value * slots / max(self.slots, 1)))
+        self.slots = slots
+        self._before = None
+
+    def observe(self, service_time, in_service, now):
+        """Take the service time in seconds of one request that succeeded."""
+        if self._start is None:
+            self._start = now
+        self._count += 1
+        self._time_sum += service_time
+        self._full += in_service >= self.value
+        # Too few requests say nothing about latency; the window grows with it.
+        if self._count >= max(20, 4 * self.value) and now > self._start:
+            self._close(now)
+
+    def _close(self, now):
+        mean = self._time_sum / self._count
+        throughput = self._count / (now - self._start)
+        full = self._full > 0.8 * self._count
+        # Forgets slowly, so that a service that has become slower for good
+        # isn't held at a low limit for ever.
+        raised = mean if self._lowest is None else self._lowest * 1.01
+        self._lowest = min(mean, raised)
+        self._adapt(mean, throughput, full)
+        self._start, self._count, self._time_sum, self._full = now, 0, 0.0, 0
+
+    def _adapt(self, mean, throughput, full):
+        if self._before is not None:
+            limit, previous = self._before
+            self._before = None
+            if throughput < previous * self.LOSS:
+                self.value = limit
+                self._pause = self._next_pause
+                self._next_pause = min(2 * self._next_pause, self.MOST_PAUSE)
+                return
+        if self._pause > 0:
+            self._pause -= 1
+        elif full and mean > self.SLOWER * self._lowest and self.value > 1:
+            self._before = (self.value, throughput)
+            self.value = max(1, int(self.value * self.STEP))
+        elif mean <= self.SLOWER * self._lowest and self.value < self.slots:
+            self.value = min(self.slots, max(self.value + 1, int(self.value * 1.1)))
+            self._next_pause = 1
+
+
+def find_levels(groups, capacity):
+    """Find the admission level of each group so that the demand fits.
+
+    Importance goes first: a class is touched only when all below it are refused
+    wholly. Within the class that doesn't fit, the capacity left is divided so
+    that no group gets more than an equal share for each of its members while
+    another still wants some (max-min fairness); what a group leaves unused goes
+    to the others.
+
+    Args:
+        groups: Sequence of pairs: rates for each importance, members.
+        capacity: Requests a second that can be served.
+
+    Returns:
+        A list of levels, one for each group.
+    """
+    left = max(capacity, 0.0)
+    for index in reversed(range(CLASSES)):
+        demand = [rates[index] for rates, _ in groups]
+        total = sum(demand)
+        if total > left:
+            shares = _divide(demand, [members for _, members in groups], left)
+            return [
+                index + (1.0 - share / wanted if wanted > share else 0.0)
+                for share, wanted in zip(shares, demand, strict=True)
+            ]
+        left -= total
+    return [0.0] * len(groups)
+
+
+def _divide(demand, members, capacity):
+    """Divide a capacity by max-min fairness, weighted by members."""
+    order = sorted(range(len(demand)), key=lambda i: demand[i] / members[i])
+    shares = [0.0] * len(demand)
+    weight = sum(members)
+    for index in order:
+        fair = capacity * members[index] / weight
+        shares[index] = min(demand[index], fair)
+        capacity -= shares[index]
+        weight -= members[index]
+    return shares
--- /dev/null
+++ b/whinwinch/fairness.py
@@ -0,0 +1,248 @@
+"""Shares of callers and keys, and of long jobs among short ones.
+
+Load patterns: one caller, or one key, asks many times its share; a few jobs
+take a hundred times as long as the rest. Without this a level that cuts all
+callers alike refuses most of what the others ask because of one of them, and
+long jobs, which leave their slots rarely, come to hold all of them.
+
+Callers and keys are only told apart while they are uneven: a group of its own
+for each hot one, one group for the rest, and max-min shares among the groups
+(`admission.find_levels`), so a share that is unused goes to whoever asks.
+"""
+
+import collections
+import math
+
+from . import admission
+
+FORGET_SECONDS = 2.0
+REGROUP_SECONDS = 0.25
+MOST_FLOWS = 256
+MOST_HOT = 16
+# A flow is hot from three times the mean of the quieter half: at twice, chance
+# alone makes one of a few dozen equal flows look hot.
+HOT_RATIO = 3.0
+# Below this share of the demand a flow of its own can't push others out.
+HOT_SHARE = 0.05
+# Jobs that take this many times the median are kept to their part of the slots.
+LONG_RATIO = 8.0
+MOST_KINDS = 256
+
+
+class Flows:
+    """Rates of the flows along one dimension, such as the caller."""
+
+    def __init__(self, now):
+        self._time = now
+        self._counts = {}
+
+    def __len__(self):
+        return len(self._counts)
+
+    def record(self, name, weight):
+        """Count an arrival that stands for `weight` arrivals."""
+        self._counts[name] = self._counts.get(name, 0.0) + weight
+        if len(self._counts) > MOST_FLOWS:
+            self._prune()
+
+    def forget(self, now):
+        """Let older arrivals count less."""
+        kept = math.exp(-(now - self._time) / FORGET_SECONDS)
+        self._time = now
+        self._counts = {
+            name: count * kept
+            for name, count in self._counts.items()
+            if count * kept > 0.05
+        }
+
+    def find_hot(self):
+        """Return the shares of the hot flows by name, the hottest first."""
+        counts = sorted(self._counts.values())
+        if len(counts) < 2:
+            return {}
+        total = sum(counts)
+        quieter = counts[: max(1, len(counts) // 2)]
+        usual = sum(quieter) / len(quieter)
+        least = max(HOT_RATIO * usual, HOT_SHARE * total)
+        hot = [
+            (count / total, name)
+            for name, count in self._counts.items()
+            if count > least and name
+        ]
+        hot.sort(reverse=True)
+        return {name: share for share, name in hot[:MOST_HOT]}
+
+    def _prune(self):
+        kept = sorted(self._counts.items(), key=lambda item: item[1], reverse=True)
+        self._counts = dict(kept[: MOST_FLOWS // 2])
+
+
+class Shares:
+    """Demand and admission level of each group of callers or keys."""
+
+    def __init__(self, now):
+        self._flows = {"caller": Flows(now), "path": Flows(now)}
+        self._dimension = "caller"
+        self._rest = admission.Demand(now)
+        self._hot = {}
+        self._levels = {}
+        self.rest_level = 0.0
+        self._regrouped = now
+
+    def record(self, request, rank, now):
+        """Count the arrival of a request."""
+        name = name_flow(request, self._dimension)
+        demand = self._hot.get(name, self._rest)
+        weight = demand.record(rank, now)
+        if weight > 0.0:
+            for dimension, flows in self._flows.items():
+                flows.record(name_flow(request, dimension), weight)
+        if now - self._regrouped > REGROUP_SECONDS:
+            self._regroup(now)
+
+    def level(self, request):
+        """Return the admission level for the flow of a request."""
+        name = name_flow(request, self._dimension)
+        return self._levels.get(name, self.rest_level)
+
+    def is_hot(self, request):
+        """Return whether the flow of a request has a share of its own."""
+        return name_flow(request, self._dimension) in self._hot
+
+    def total(self, now):
+        """Return the whole demand in requests a second."""
+        demands = [self._rest, *self._hot.values()]
+        return sum(sum(demand.rates(now)) for demand in demands)
+
+    def update(self, capacity, now):
+        """Set the levels so that what they admit fits a capacity.
+
+        Args:
+            capacity: Requests a second that should arrive.
+            now: Time of the loop's clock.
+        """
+        names = list(self._hot)
+        others = max(1, len(self._flows[self._dimension]) - len(names))
+        groups = [(self._rest.rates(now), others)]
+        groups += [(self._hot[name].rates(now), 1) for name in names]
+        levels = admission.find_levels(groups, capacity)
+        self.rest_level = levels[0]
+        self._rest.note_level(levels[0], now)
+        self._levels = dict(zip(names, levels[1:], strict=True))
+        for name in names:
+            self._hot[name].note_level(self._levels[name], now)
+
+    def _regroup(self, now):
+        self._regrouped = now
+        hot = {}
+        for dimension, flows in self._flows.items():
+            flows.forget(now)
+            hot[dimension] = flows.find_hot()
+        # One dimension at a time: cutting the same excess along both would
+        # refuse more than the excess.
+        sums = {dimension: sum(shares.values()) for dimension, shares in hot.items()}
+        chosen = "path" if sums["path"] > 1.2 * sums["caller"] else "caller"
+        if chosen != self._dimension:
+            self._keep(frozenset(), now)
+            self._dimension = chosen
+        self._keep(frozenset(hot[chosen]), now)
+        for name, share in hot[chosen].items():
+            if name not in self._hot:
+                self._hot[name] = self._rest.split(share, now)
+                self._levels[name] = self.rest_level
+
+    def _keep(self, names, now):
+        """Put the hot flows that are no longer so back among the rest."""
+        for name in list(self._hot):
+            if name not in names:
+                self._rest.merge(self._hot.pop(name), now)
+                self._levels.pop(name, None)
+
+
+class Durations:
+    """Mean service time for each kind of job, and which kinds are long."""
+
+    def __init__(self):
+        self._means = collections.OrderedDict()
+        self._started = {}
+        self._median = None
+        self._observed = 0
+
+    @property
+    def median(self):
+        """Service time in seconds of the median job, or None when unknown."""
+        return self._median
+
+    def start(self, kind, now):
+        """Note that a job of a kind not seen to its end has started."""
+        if kind not in self._means and len(self._started) < MOST_KINDS:
+            self._started.setdefault(kind, now)
+
+    def observe(self, kind, seconds):
+        """Take the service time of one job."""
+        mean, count = self._means.pop(kind, (seconds, 0.0))
+        count = min(count + 1.0, 200.0)
+        self._means[kind] = (mean + (seconds - mean) / min(count, 20.0), count)
+        self._started.pop(kind, None)
+        while len(self._means) > MOST_KINDS:
+            self._means.popitem(last=False)
+        self._observed += 1
+        if self._observed < 50 or self._observed % 20 == 0:
+            self._median = self._find_median()
+
+    def mean(self, kind):
+        """Return the mean service time of a kind in seconds, 0 when unknown."""
+        return self._means.get(kind, (0.0, 0.0))[0]
+
+    def is_long(self, kind, now):
+        """Return whether jobs of a kind take far longer than most."""
+        if self._median is None:
+            return False
+        seen = self._means.get(kind)
+        if seen is not None:
+            return seen[0] > LONG_RATIO * self._median
+        # The first long jobs show themselves by staying: waiting for one to
+        # end would let the ones that follow take every slot meanwhile.
+        started = self._started.get(kind)
+        return started is not None and now - started > LONG_RATIO * self._median
+
+    def _find_median(self):
+        means = sorted(self._means.values())
+        half = sum(count for _, count in means) / 2.0
+        for mean, count in means:
+            half -= count
+            if half <= 0.0:
+                return mean
+        return means[-1][0]
+
+
+def name_flow(request, dimension):
+    """Return the name of the flow of a request along a dimension."""
+    if dimension == "caller":
+        return request.caller
+    return name_key(request)
+
+
+def name_key(request):
+    """Return what a request asks for: its path without the query."""
+    return request.path.partition("?")[0]
+
+
+def name_kind(request):
+    """Return the kind of job that a request is: its call, else its path."""
+    return request.call or name_key(request)
+
+
+def limit_long(limit, short_busy):
+    """Return how many slots long jobs may hold.
+
+    The short ones keep what they use on average and three standard deviations
+    of its chance variation (a Poisson number's is its square root). An eighth
+    of the slots is always open to long jobs, so that they aren't starved.
+
+    Args:
+        limit: Present limit on requests in service.
+        short_busy: Slots that short jobs would use on average.
+    """
+    kept = math.ceil(short_busy + 3.0 * math.sqrt(short_busy)) + 1
+    return max(1, limit // 8, limit - kept)
--- /dev/null
+++ b/whinwinch/waiting.py
@@ -0,0 +1,124 @@
+"""Who waits for a slot, in which order, and who is dropped first.
+
+Load pattern: bursts, and the chance variation of arrivals around a demand that
+the admission level holds at capacity. Without a queue each small burst is
+refused although a slot comes free a moment later; with an unbounded one every
+request waits until its caller has given up, and the work is wasted.
+
+Order of service: importance, then time of arrival. Order of dropping: lowest
+rank first, which is the hash order that all hops share. Arrival order within
+one importance keeps waits even: strict rank order would leave the lowest to
+wait until their deadlines and be refused late.
+"""
+
+import collections
+import math
+from typing import NamedTuple
+
+
+class Waiter(NamedTuple):
+    """One request that waits for a slot.
+
+    Attributes:
+        request: The request.
+        rank: Its rank, as `messages.rank_request` gives it.
+        since: When it began to wait, in seconds of the loop's clock.
+        expires: Time by which it must be admitted or refused.
+    """
+
+    request: object
+    rank: float
+    since: float
+    expires: float
+
+
+class Queue:
+    """Requests that wait, ordered by importance and arrival."""
+
+    def __init__(self):
+        self._classes = collections.defaultdict(collections.OrderedDict)
+        self._places = {}
+
+    def __len__(self):
+        return len(self._places)
+
+    def __contains__(self, attempt):
+        return attempt in self._places
+
+    def add(self, waiter):
+        """Append a waiter to its importance."""
+        importance = int(waiter.request.importance)
+        self._classes[importance][waiter.request.attempt] = waiter
+        self._places[waiter.request.attempt] = importance
+
+    def remove(self, attempt):
+        """Remove and return the waiter of an attempt, or None."""
+        importance = self._places.pop(attempt, None)
+        if importance is None:
+            return None
+        return self._classes[importance].pop(attempt)
+
+    def take_next(self):
+        """Remove and return the waiter to be served next, or None."""
+        for importance in sorted(self._classes, reverse=True):
+            waiters = self._classes[importance]
+            if waiters:
+                return self.remove(next(iter(waiters)))
+        return None
+
+    def find_next_importance(self):
+        """Return the importance of the waiter to be served next, or None."""
+        return max((key for key, ws in self._classes.items() if ws), default=None)
+
+    def find_lowest(self):
+        """Return the waiter with the lowest rank, or None."""
+        for importance in sorted(self._classes):
+            waiters = self._classes[importance]
+            if waiters:
+                return min(waiters.values(), key=lambda waiter: waiter.rank)
+        return None
+
+    def count_ahead(self, importance):
+        """Return how many waiters are served before a newcomer."""
+        return sum(
+            len(waiters) for key, waiters in self._classes.items() if key >= importance
+        )
+
+    def take_expired(self, now):
+        """Remove and return the waiters whose time has come."""
+        expired = [
+            waiter
+            for waiters in self._classes.values()
+            for waiter in waiters.values()
+            if waiter.expires <= now
+        ]
+        for waiter in expired:
+            self.remove(waiter.request.attempt)
+        return expired
+
+    def next_expiry(self):
+        """Return the earliest expiry of all waiters, or None."""
+        return min(
+            (
+                waiter.expires
+                for waiters in self._classes.values()
+                for waiter in waiters.values()
+            ),
+            default=None,
+        )
+
+
+def choose_length(rate, reaction):
+    """Return how many requests may wait.
+
+    The queue has to hold what arrives by chance above the rate during the time
+    that a changed level takes to act, or the variation itself is refused after
+    the hops above have done their work. Arrivals and departures both vary, so
+    the standard deviation is ``sqrt(2 * rate * reaction)``; three of them leave
+    about one refusal in a thousand.
+
+    Args:
+        rate: Requests a second that the slots can serve.
+        reaction: Seconds that a changed level takes to act.
+    """
+    return max(4, math.ceil(3.0 * math.sqrt(2.0 * rate * reaction)))
