--- a/standins/serving.py
+++ b/standins/serving.py
@@ -10,6 +10,7 @@
 from cheroot import wsgi
 
 BACKLOG = 512
+EXPIRATION_INTERVAL = 0.1
 REASONS = {
     200: "OK",
     201: "Created",
@@ -133,6 +134,8 @@
     # Beyond the default of ten kept connections the server closes each one
     # after its answer; callers would then see resets and pay for connecting.
     server.keep_alive_conn_limit = None
+    # How long stopping may take.
+    server.expiration_interval = EXPIRATION_INTERVAL
     server.prepare()
     return server
 
--- /dev/null
+++ b/test/standins/test_caller.py
@@ -0,0 +1,82 @@
+"""Tests of the stand-in caller, against stand-in backend servers."""
+
+import random
+import unittest
+import uuid
+
+from standins import backend, caller, serving, trace
+
+ANYWHERE = serving.Address("127.0.0.1", 0)
+REQUEST = trace.Request(0.0, "archive", path="/x", timeout=30.0)
+
+
+class TraceTest(unittest.TestCase):
+    def test_round_trip(self):
+        requests = (REQUEST, REQUEST._replace(at=0.5, method="POST", key="new"))
+        self.assertEqual(trace.read_trace(trace.write_trace(requests)), requests)
+
+    def test_bad_line_is_named(self):
+        with self.assertRaisesRegex(ValueError, "line 2"):
+            trace.read_trace(['{"at": 0, "service": "a"}', '{"att": 0}'])
+
+    def test_rate_and_laps(self):
+        requests = tuple(REQUEST._replace(at=at) for at in (0.0, 1.0, 2.0, 3.0))
+        played = trace.schedule_requests(requests, 2.0, 3.0)
+        self.assertEqual(
+            [request.at for request in played], [0.0, 0.5, 1.0, 1.5, 2.0, 2.5]
+        )
+
+
+class CallerTest(unittest.TestCase):
+    def start(self, service="archive", slots=2, direct=None):
+        settings = backend.Settings(service, slots, 0.0, direct=direct or {})
+        server, load = backend.build_server(ANYWHERE, settings)
+        serving.start_server(server)
+        self.addCleanup(server.stop)
+        return f"http://{serving.find_address(server)}", load
+
+    def test_plays_a_chain_and_knows_it_is_whole(self):
+        archive, _ = self.start()
+        direct = {"archive": (archive.removeprefix("http://"),)}
+        catalog, _ = self.start("catalog", direct=direct)
+        request = REQUEST._replace(service="catalog", next="archive/x", size=9)
+        send = caller.build_sender([catalog], direct=True)
+        results = caller.play([request] * 5, send, caller.Retry.NONE, 2)
+        self.assertEqual([result.last.succeeded for result in results], [True] * 5)
+        longer = request._replace(next="archive/x,archive/x")
+        self.assertFalse(caller.is_whole(b'{"service": "catalog"}', longer, "m"))
+
+    def test_swapped_answer_is_not_whole(self):
+        """The answer to another caller's request is delivered to this one."""
+        body = b'{"service": "archive", "marker": "other", "below": []}'
+        self.assertFalse(caller.is_whole(body, REQUEST, "own"))
+        self.assertTrue(caller.is_whole(body, REQUEST, "other"))
+
+    def test_retries_hard_with_the_same_key(self):
+        """Every answer is lost after the work ran; the caller asks on.
+
+        Without a daemon the work runs each time, under one key.
+        """
+        url, load = self.start()
+        load.set_faults({"lose_answers": 2})
+        send = caller.build_sender([url], direct=True)
+        request = REQUEST._replace(method="POST", key="new")
+        key, sent = caller.ask(send, request, caller.Retry.HARD, random.Random(1))
+        outcomes = [each.outcome for each in sent]
+        self.assertEqual(outcomes, ["unknown", "unknown", "completed"])
+        self.assertEqual(load.report_runs()["keys"], {key: 3})
+
+    def test_nobody_there(self):
+        url, _ = self.start()
+        self.doCleanups()
+        send = caller.build_sender([url], direct=True)
+        self.assertEqual(send(REQUEST).outcome, "not-run")
+
+    def test_result_round_trip(self):
+        sent = caller.Sent("r", "not-run", "queue-full", 503, 0.1, 1, 0.2)
+        result = caller.Result(0.0, "archive", "low", "", 0.0, 0.1, (sent, sent))
+        self.assertEqual(caller.read_result(caller.write_result(result)), result)
+
+    def test_key_is_uuid_version_7(self):
+        key = uuid.UUID(caller.new_key(1.5))
+        self.assertEqual((key.version, key.int >> 80), (7, 1500))
