--- /dev/null
+++ b/test/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the resource API and its client."""
