--- /dev/null
+++ b/test/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls and gossip between daemons."""
--- /dev/null
+++ b/test/logservice/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the exchanges with the log service."""
