--- /dev/null
+++ b/whinwinch/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line: ``python -m whinwinch``."""
+
+import sys
+
+from .commands import main
+
+sys.exit(main())
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -3,8 +3,7 @@
 import threading
 from typing import NamedTuple
 
-from .. import attempts, decisions, gate, messages
-from ..claims import Verdict as ClaimVerdict
+from .. import attempts, claims, decisions, gate, messages
 from ..messages import Answer, Outcome, Reason
 from .client import BackendClient
 
@@ -28,23 +27,23 @@
 
     Args:
         clock: Returns the loop's time in seconds.
-        claim: Takes a `Request`, returns a `claims.Verdict`; blocks while the
-            log decides, at most until the deadline.
+        claim: Takes a `Request`, returns a `claims.ClaimVerdict`; blocks while
+            the log decides, at most until the deadline.
         note_end: Takes a `Request` and its `Answer`; notes in the log how
             claimed work ended.
         ledger: `retries.Ledger` of the attempts inside, `guarded`.
         running: `running.Running`.
-        lifecycle: Tells whether new work is taken.
+        takes_work: Returns whether new work is taken.
         max_body: Largest answer taken, in bytes.
     """
 
-    def __init__(self, clock, claim, note_end, ledger, running, lifecycle, max_body):
+    def __init__(self, clock, claim, note_end, ledger, running, takes_work, max_body):
         self._clock = clock
         self._claim = claim
         self._note_end = note_end
         self._ledger = ledger
         self._running = running
-        self._lifecycle = lifecycle
+        self._takes_work = takes_work
         self._max_body = max_body
         self._lock = threading.Lock()
         self._gate = None
@@ -66,7 +65,7 @@
                 announcement.address, announcement.connections, self._max_body
             )
             if self._gate is None:
-                self._gate = gate.Gate(announcement.slots)
+                self._gate = gate.Gate(announcement.slots, self._clock())
                 return
             resized = self._gate.resize(announcement.slots, self._clock())
         self._deliver(resized)
@@ -74,17 +73,21 @@
     def has_room(self):
         """Return whether a request would be admitted without a wait."""
         with self._lock:
-            if self._client is None or not self._lifecycle.takes_work():
+            if self._client is None or not self._takes_work():
                 return False
             load = self._gate.load(self._clock())
         return not load.waiting and load.in_service < load.limit
 
-    def load(self):
-        """Return the load of the backend server as the gate sees it."""
+    def load(self, request=None):
+        """Return the load of the backend server as the gate sees it.
+
+        Args:
+            request: The request that asks, for the level of its own flow.
+        """
         with self._lock:
             if self._gate is None:
                 return messages.Load()
-            return self._gate.load(self._clock())
+            return self._gate.load(self._clock(), request)
 
     def serve(self, request):
         """Serve one attempt and return its answer."""
@@ -117,7 +120,7 @@
 
     def _check(self, request, now):
         """Return why a request can't be taken at all, or None."""
-        if not self._lifecycle.takes_work():
+        if not self._takes_work():
             return Reason.LEAVING
         if self._client is None or request.service != self.service:
             return Reason.NO_ENDPOINT
@@ -162,7 +165,9 @@
             answer = self._claim_and_run(request)
         finally:
             self._leave(request, answer, started)
-        return answer._replace(load=self._describe_load(answer.load.below))
+        return answer._replace(
+            load=self.load(request)._replace(below=answer.load.below)
+        )
 
     def _leave(self, request, answer, started):
         now = self._clock()
@@ -179,9 +184,11 @@
             return self._run(request)
         verdict = self._claim_within_share(request)
         decisions.log_decision(
-            decisions.Claimed(request.root, request.attempt, request.key, verdict.name)
+            decisions.Claimed(
+                request.root, request.attempt, request.key, verdict.verdict.value
+            )
         )
-        if verdict is not ClaimVerdict.WON:
+        if verdict.verdict is not claims.Verdict.WON:
             return _answer_claim(request, verdict)
         answer = self._run(request)
         self._note_end(request, answer)
@@ -191,7 +198,9 @@
         with self._lock:
             limit = max(1, int(self._gate.load(self._clock()).limit * CLAIMING_SHARE))
             if self._claiming >= limit:
-                return ClaimVerdict.LOG_DOWN
+                return claims.ClaimVerdict(
+                    claims.Verdict.LOG_DOWN, retry_after=DEFAULT_RETRY_AFTER
+                )
             self._claiming += 1
         try:
             return self._claim(request)
@@ -228,9 +237,6 @@
             deeper=True, reason=Reason.DEEPER, retry_after=below.retry_after
         )
 
-    def _describe_load(self, below):
-        return self.load()._replace(below=below)
-
     def _refuse(self, request, decision):
         decisions.log_decision(
             decisions.Refused(
@@ -248,7 +254,7 @@
         if decision.reason is Reason.ABANDONED:
             # The first copy of this message may be running.
             answer = answer._replace(outcome=Outcome.UNKNOWN, unused=0)
-        return answer._replace(load=self.load())
+        return answer._replace(load=self.load(request))
 
 
 def _build_refusal(request, reason):
@@ -270,15 +276,12 @@
 
 def _answer_claim(request, verdict):
     """Return the answer for work that this gatekeeper may not run."""
-    if verdict is ClaimVerdict.LOST:
-        # Another attempt of the same key may have run it: not this one, but
-        # the caller asks about the work, not about the attempt.
-        return Answer(
-            request.attempt,
-            Outcome.UNKNOWN,
-            Reason.KEY_CLAIMED,
-            status=409,
-            unused=request.budget,
-        )
-    reason = Reason.KEY_AGE if verdict is ClaimVerdict.STALE else Reason.LOG_DOWN
-    return _build_not_run(request, reason)
+    settlement = claims.settle_verdict(verdict)
+    return Answer(
+        request.attempt,
+        settlement.outcome,
+        settlement.reason,
+        status=503,
+        unused=request.budget,
+        retry_after=verdict.retry_after,
+    )
--- /dev/null
+++ b/whinwinch/commands.py
@@ -0,0 +1,195 @@
+"""The command line; a thin layer over the library."""
+
+import argparse
+import json
+import os
+import sys
+
+from . import __version__
+from .errors import InputErrors, UserError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
+
+DEFAULT_SERVER = "http://127.0.0.1:7300"
+SERVER_VARIABLE = "WHINWINCH_SERVER"
+TOKEN_VARIABLE = "WHINWINCH_OPERATOR_TOKEN"
+
+
+def main(arguments=None, environment=os.environ):
+    """Run one command.
+
+    Args:
+        arguments: Words of the command line, by default the process's own.
+        environment: Environment variables.
+
+    Returns:
+        The exit code: 0 for success, 1 for a failure, 2 for wrong usage.
+    """
+    parsed = build_parser().parse_args(arguments)
+    try:
+        return parsed.run(parsed, environment)
+    except InputErrors as errors:
+        print(f"whinwinch: {errors.message}:", file=sys.stderr)
+        for finding in errors.findings:
+            print(f"  {finding.place}: {finding.problem}", file=sys.stderr)
+        return EXIT_USAGE
+    except UserError as error:
+        print(f"whinwinch: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # `whinwinch watch | head` ends this way; it is no failure.
+        sys.stderr.close()
+        return EXIT_OK
+
+
+def build_parser():
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="whinwinch",
+        description="Overload control layer for service call graphs.",
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"whinwinch {__version__}"
+    )
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    _add_daemon(commands)
+    _add_apply(commands)
+    _add_get(commands)
+    _add_delete(commands)
+    _add_watch(commands)
+    _add_history(commands)
+    _add_status(commands)
+    _add_drain(commands)
+    _add_replay(commands)
+    return parser
+
+
+def _add_daemon(commands):
+    # Imported late: operators' commands need none of what a daemon needs.
+    from . import settings
+
+    parser = commands.add_parser(
+        "daemon",
+        help="run the daemon beside a backend server",
+        description="Run the daemon beside a backend server. Every setting is a "
+        "flag or the environment variable named with it; the flag goes first.",
+        epilog="from the environment only:\n" + settings.describe_secrets(),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    settings.add_arguments(parser)
+    parser.set_defaults(run=run_daemon)
+
+
+def _add_apply(commands):
+    parser = _add_operator_command(
+        commands, "apply", "create or replace resources", run_apply
+    )
+    parser.add_argument("files", metavar="FILE", nargs="+", help="JSON; - for stdin")
+    parser.add_argument(
+        "--if-version",
+        type=int,
+        metavar="N",
+        help="replace only this version of the resource; 0 only creates",
+    )
+
+
+def _add_get(commands):
+    parser = _add_operator_command(commands, "get", "show resources", run_get)
+    parser.add_argument("name", nargs="?", help="name of a service; all by default")
+
+
+def _add_delete(commands):
+    parser = _add_operator_command(commands, "delete", "delete a resource", run_delete)
+    parser.add_argument("name", help="name of a service")
+    parser.add_argument(
+        "--if-version", type=int, metavar="N", help="delete only this version"
+    )
+
+
+def _add_watch(commands):
+    parser = _add_operator_command(
+        commands, "watch", "print changes as they take effect", run_watch
+    )
+    parser.add_argument(
+        "--after", type=int, metavar="VERSION", help="begin after this version"
+    )
+    parser.add_argument(
+        "--most", type=int, metavar="N", help="end after this many changes"
+    )
+
+
+def _add_history(commands):
+    _add_operator_command(
+        commands, "history", "show who changed what and when", run_history
+    )
+
+
+def _add_status(commands):
+    _add_operator_command(
+        commands, "status", "show what a daemon knows and does", run_status
+    )
+
+
+def _add_drain(commands):
+    _add_operator_command(
+        commands,
+        "drain",
+        "let the backend server beside a daemon leave without a loss",
+        run_drain,
+    )
+
+
+def _add_replay(commands):
+    parser = commands.add_parser(
+        "replay", help="check a recorded trace against what must hold"
+    )
+    parser.add_argument("trace", metavar="TRACE", help="file of JSON lines")
+    parser.set_defaults(run=run_replay)
+
+
+def _add_operator_command(commands, name, summary, run):
+    parser = commands.add_parser(name, help=summary, description=summary)
+    parser.add_argument(
+        "--server",
+        metavar="URL",
+        help=f"any daemon's address [{SERVER_VARIABLE}; {DEFAULT_SERVER}]; the "
+        f"token is read from {TOKEN_VARIABLE}",
+    )
+    parser.add_argument(
+        "--output", choices=("text", "json"), default="text", help="form of the output"
+    )
+    parser.set_defaults(run=run)
+    return parser
+
+
+def run_daemon(arguments, environment):
+    """Run a daemon until it is told to stop."""
+    from . import daemon, settings
+
+    return daemon.run(settings.read_settings(arguments, environment))
+
+
+def run_replay(arguments, environment):
+    """Check a recorded trace."""
+    del environment
+    from . import traces
+
+    return traces.replay_file(arguments.trace)
+
+
+def connect(arguments, environment):
+    """Return a client of the resource API."""
+    from .operators import client
+
+    server = arguments.server or environment.get(SERVER_VARIABLE, DEFAULT_SERVER)
+    return client.connect(server, environment.get(TOKEN_VARIABLE, ""))
+
+
+def print_json(document):
+    """Print a JSON document on one line, for other programs to read."""
+    print(json.dumps(document), flush=True)
--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -11,6 +11,7 @@
 import grpc
 
 from ..messages import Answer, Outcome, Reason
+from ..operators import access
 from . import codec, peer_pb2_grpc
 
 # Connecting within a region takes a few round trips; an address that takes
@@ -67,12 +68,12 @@
 
     Args:
         clock: Returns the loop's time in seconds.
-        token: Shared by the daemons of one mesh; "" for none.
+        token: Shown to the other daemons; "" for none.
     """
 
     def __init__(self, clock, token):
         self._clock = clock
-        self._metadata = (("authorization", f"Bearer {token}"),) if token else ()
+        self._metadata = ((access.PEER_METADATA, token),) if token else ()
         self._peers = {}
         self._lock = threading.Lock()
 
--- a/whinwinch/daemons/server.py
+++ b/whinwinch/daemons/server.py
@@ -6,7 +6,7 @@
 
 from ..messages import Answer, Outcome, Reason
 from ..operators import access
-from . import codec, peer_pb2, peer_pb2_grpc
+from . import codec, peer_pb2_grpc
 
 # Threads are made only when needed. The gate bounds the work in service and
 # waiting far below this, so that a refusal always finds a thread.
@@ -27,14 +27,14 @@
         serve: Takes a `Request`, returns its `Answer`.
         answer_gossip: Takes a `GossipMessage`, returns a `GossipAnswer`.
         clock: Returns the loop's time in seconds.
-        token: Shared by the daemons of one mesh; "" for none.
+        digests: Of the tokens taken, from `access.parse_peer_tokens`.
     """
 
-    def __init__(self, serve, answer_gossip, clock, token):
+    def __init__(self, serve, answer_gossip, clock, digests):
         self._serve = serve
         self._answer_gossip = answer_gossip
         self._clock = clock
-        self._token = token
+        self._digests = digests
 
     def Call(self, request, context):
         """Serve one attempt."""
@@ -52,10 +52,11 @@
 
     def _check_token(self, context):
         """End the call with PERMISSION_DENIED unless the token is right."""
-        if not self._token:
+        if not self._digests:
             return
         metadata = {item.key: item.value for item in context.invocation_metadata()}
-        if not access.check_peer_token(metadata.get("authorization", ""), self._token):
+        token = metadata.get(access.PEER_METADATA, "")
+        if not access.check_peer_token(self._digests, token):
             context.abort(grpc.StatusCode.PERMISSION_DENIED, "wrong peer token")
 
 
@@ -82,6 +83,3 @@
     server.add_insecure_port(str(address))
     server.start()
     return server
-
-
-__all__ = ["PeerServicer", "peer_pb2", "start_server"]
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -287,7 +287,7 @@
         with self._placement as placement:
             placement.observe(endpoint.daemon, answer, ended - started, ended)
         with self._levels as levels:
-            levels.learn(attempt.service, attempt.call, answer.load, ended)
+            levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
         return answer
 
     def _serve_or_call(self, attempt, endpoint):
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -69,7 +69,7 @@
     gossip_interval: float
     verbosity: str
     operator_tokens: str
-    peer_token: str
+    peer_tokens: str
 
 
 def parse_address(text):
@@ -202,16 +202,17 @@
         "operator-tokens",
         str,
         "",
-        "Comma-separated NAME:TOKEN of the operators; none closes the "
+        "Comma-separated AUTHOR:TOKEN of the operators; none closes the "
         "administration API.",
         secret=True,
     ),
     Option(
-        "peer-token",
+        "peer-tokens",
         str,
         "",
-        "Token that the daemons of one mesh share; none accepts calls from "
-        "anyone who reaches the peer address.",
+        "Comma-separated tokens that the daemons of one mesh show each other, "
+        "the first is sent; none accepts calls from anyone who reaches the peer "
+        "address.",
         secret=True,
     ),
 )
