--- /dev/null
+++ b/test/logservice/test_claimer.py
@@ -0,0 +1,327 @@
+"""Tests of the task that claims, with a log in memory and a paused clock."""
+
+import asyncio
+import random
+import unittest
+from typing import NamedTuple
+
+from whinwinch import claims
+from whinwinch.claims import Claim, Claims, Verdict
+from whinwinch.errors import UserError
+from whinwinch.logservice import claimer
+
+START = 1_800_000_000.0
+GENERATOR = random.Random(3)
+
+
+class LogUnavailable(UserError):
+    def __init__(self, written):
+        super().__init__("the log does not answer")
+        self.written = written
+
+
+class Record(NamedTuple):
+    offset: int
+    time: float
+    data: bytes
+
+
+class Page(NamedTuple):
+    records: tuple
+    first: int
+    next: int
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps to the next timer instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self._wait = self._selector.select
+        self._selector.select = self._jump
+
+    def time(self):
+        return self.now
+
+    def _jump(self, timeout=None):
+        if timeout:
+            self.now += timeout
+        return self._wait(0)
+
+
+class FakeLog:
+    """A log in memory whose calls fail as the test says.
+
+    `faults` holds one entry for each coming append: None lets it through,
+    "refused" loses it, "lost" loses its answer only. Afterwards all succeed,
+    unless `down` is set.
+    """
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.records = []
+        self.first = 0
+        self.faults = []
+        self.down = False
+        self.appends = 0
+
+    def get_time(self):
+        return START + self.loop.time()
+
+    def append(self, stream, data, timeout):
+        self.appends += 1
+        fault = self.faults.pop(0) if self.faults else None
+        if self.down or fault == "refused":
+            raise LogUnavailable(False)
+        self.records.append(Record(len(self.records), self.get_time(), data))
+        if fault == "lost":
+            raise LogUnavailable(None)
+        return len(self.records) - 1
+
+    def read(self, stream, offset, limit, wait, timeout):
+        if self.down:
+            raise LogUnavailable(False)
+        start = max(offset, self.first)
+        kept = tuple(self.records[start : start + limit])
+        return Page(kept, self.first, len(self.records))
+
+    def drop_all(self):
+        self.first = len(self.records)
+
+
+async def run_now(function, *arguments):
+    await asyncio.sleep(0)
+    return function(*arguments)
+
+
+def make_key():
+    return claims.make_key(START, GENERATOR.getrandbits(74))
+
+
+class ClaimerTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = PausedLoop()
+        self.addCleanup(self.loop.close)
+        self.log = FakeLog(self.loop)
+        self.tasks = []
+        self.addCleanup(self.stop)
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+
+    def start(self, incarnation="g1", run=run_now, **options):
+        started = claimer.Claimer(
+            self.log,
+            "royalties",
+            incarnation,
+            LogUnavailable,
+            run=run,
+            state=Claims(retention=3600.0),
+            draw=lambda: 1.0,
+            **options,
+        )
+        self.tasks.append(self.loop.create_task(started.run()))
+        return started
+
+    def wait(self, awaitable):
+        return self.loop.run_until_complete(awaitable)
+
+    def claim(self, one, key, attempt="a1", deadline=60.0):
+        return self.wait(one.claim(key, attempt, self.loop.time() + deadline))
+
+    def read_all(self):
+        entries = []
+        for record in self.log.records:
+            entries.extend(claims.decode_batch(record.data).entries)
+        return entries
+
+    def test_one_claim_wins_and_the_other_loses(self):
+        """A caller asks again at another daemon while the first is at work."""
+        key = make_key()
+        self.assertIs(self.claim(self.start("g1"), key).verdict, Verdict.WON)
+        lost = self.claim(self.start("g2"), key, "a2")
+        self.assertEqual(lost[:2], (Verdict.LOST, "a1"))
+
+    def test_the_second_copy_of_a_message_does_not_run(self):
+        """A request reaches its gatekeeper twice.
+
+        Both copies carry the same attempt, so the log alone would let both run.
+        """
+        one = self.start()
+        key = make_key()
+        self.assertIs(self.claim(one, key).verdict, Verdict.WON)
+        self.assertIs(self.claim(one, key).verdict, Verdict.LOST)
+
+    def test_claims_that_come_together_share_an_append(self):
+        one = self.start()
+
+        async def claim_many():
+            asks = [one.claim(make_key(), f"a{n}", 60.0) for n in range(300)]
+            return await asyncio.gather(*asks)
+
+        verdicts = self.wait(claim_many())
+        self.assertEqual({each.verdict for each in verdicts}, {Verdict.WON})
+        self.assertLessEqual(self.log.appends, 2)
+
+    def test_a_lost_answer_is_settled_by_reading_on(self):
+        """The log takes the claim but its answer is lost.
+
+        The writer cannot know whether to run; it reads and finds its claim.
+        """
+        self.log.faults = ["lost"]
+        self.assertIs(self.claim(self.start(), make_key()).verdict, Verdict.WON)
+        self.assertEqual(self.log.appends, 1)
+
+    def test_a_log_that_is_down_is_answered_at_once(self):
+        """The log is down and a payout comes.
+
+        The caller is told promptly that it was not run and when to come back.
+        """
+        self.log.down = True
+        one = self.start()
+        before = self.loop.time()
+        refused = self.claim(one, make_key())
+        again = self.claim(one, make_key(), "a2")
+        for verdict in (refused, again):
+            self.assertIs(verdict.verdict, Verdict.LOG_DOWN)
+            self.assertGreater(verdict.retry_after, 0)
+        self.assertEqual(self.loop.time(), before)
+
+    def test_a_claim_that_was_given_up_is_released(self):
+        """The log takes a claim, then goes down before it can be read back.
+
+        The caller hears "not run". When the log is back the same key must be
+        free for the caller's next attempt.
+        """
+        one = self.start()
+        key = make_key()
+        self.log.faults = ["lost"]
+        append = self.log.append
+
+        def append_and_fall(*arguments):
+            self.log.down = bool(self.log.faults)
+            try:
+                self.log.down = False
+                return append(*arguments)
+            finally:
+                self.log.down = not self.log.faults and self.log.appends == 1
+
+        self.log.append = append_and_fall
+        self.assertIs(self.claim(one, key).verdict, Verdict.LOG_DOWN)
+        self.log.down = False
+        self.wait(one.flush())
+        self.assertIs(self.claim(one, key, "a2").verdict, Verdict.WON)
+
+    def test_the_log_is_used_again_when_it_is_back(self):
+        one = self.start()
+        self.log.down = True
+        refused = self.claim(one, make_key())
+        self.log.down = False
+        self.wait(asyncio.sleep(refused.retry_after))
+        self.assertIs(self.claim(one, make_key(), "a2").verdict, Verdict.WON)
+
+    def test_a_claim_past_its_deadline_never_wins(self):
+        """The log hangs until the caller's deadline has passed.
+
+        What comes back then is too late to be run.
+        """
+        gate = asyncio.Event()
+
+        async def run_later(function, *arguments):
+            await gate.wait()
+            return function(*arguments)
+
+        one = self.start(run=run_later)
+        key = make_key()
+        verdict = self.claim(one, key, deadline=1.0)
+        self.assertIs(verdict.verdict, Verdict.ABANDONED)
+        gate.set()
+        self.wait(one.flush())
+        other = self.start("g2")
+        self.assertIs(self.claim(other, key, "a2").verdict, Verdict.WON)
+
+    def test_a_caller_that_goes_away_gives_the_key_back(self):
+        one = self.start()
+        key = make_key()
+
+        async def ask_and_leave():
+            ask = asyncio.ensure_future(one.claim(key, "a1", 60.0))
+            while not self.log.records:
+                await asyncio.sleep(0)
+            ask.cancel()
+            await asyncio.gather(ask, return_exceptions=True)
+
+        self.wait(ask_and_leave())
+        self.wait(one.flush())
+        self.assertIs(self.claim(one, key, "a2").verdict, Verdict.WON)
+
+    def test_a_stream_whose_records_are_gone_can_be_used(self):
+        """A service pays once an hour, the log keeps records for less."""
+        self.claim(self.start("g1"), make_key())
+        self.log.drop_all()
+        self.assertIs(self.claim(self.start("g2"), make_key()).verdict, Verdict.WON)
+
+    def test_records_dropped_after_the_append_are_a_gap(self):
+        """The daemon is paused between append and read, past the retention.
+
+        What it cannot read may hold an earlier claim, so it does not run. Its
+        own claim is released, for readers that do see it.
+        """
+        one = self.start()
+        append = self.log.append
+
+        def append_and_drop(stream, data, timeout):
+            offset = append(stream, data, timeout)
+            if len(self.log.records) == 2:
+                self.log.first = 1
+            return offset
+
+        self.log.append = append_and_drop
+        self.log.records.append(Record(0, START, b""))
+        state = one._state
+        one._last_read = 0.0
+        key = make_key()
+        self.assertIs(self.claim(one, key).verdict, Verdict.GAP)
+        self.assertEqual(state.skips, 1)
+        self.wait(one.flush())
+        self.assertIn(claims.Release(key, "a1", "g1"), self.read_all())
+
+    def test_a_stale_key_is_refused(self):
+        old = claims.make_key(START - claims.WINDOW - 5, 1)
+        self.assertIs(self.claim(self.start(), old).verdict, Verdict.STALE)
+        self.assertIs(self.claim(self.start(), "k").verdict, Verdict.STALE)
+
+    def test_done_notes_reach_later_claims(self):
+        one = self.start()
+        key = make_key()
+        self.claim(one, key)
+        one.note_done(key, "a1", 201)
+        self.wait(one.flush())
+        later = self.claim(self.start("g2"), key, "a2")
+        self.assertEqual(later[:4], (Verdict.LOST, "a1", True, 201))
+
+    def test_at_most_one_attempt_wins_whatever_fails(self):
+        """Appends fail in every way while callers ask again everywhere."""
+        generator = random.Random(11)
+        for _ in range(60):
+            self.log.faults = generator.choices([None, "lost", "refused"], k=12)
+            self.log.records.clear()
+            ones = [self.start(f"g{n}", patience=5.0) for n in range(3)]
+            key = make_key()
+            verdicts = [
+                self.claim(generator.choice(ones), key, f"a{n}") for n in range(6)
+            ]
+            won = [each for each in verdicts if each.verdict is Verdict.WON]
+            self.assertLessEqual(len(won), 1)
+
+    def test_the_claim_is_in_the_log_before_it_wins(self):
+        key = make_key()
+        self.claim(self.start(), key)
+        self.assertIn(Claim(key, "a1", "g1"), self.read_all())
+
+
+if __name__ == "__main__":
+    unittest.main()
