--- /dev/null
+++ b/test/test_metrics.py
@@ -0,0 +1,79 @@
+"""Tests of counters, histograms and their text."""
+
+import threading
+import unittest
+
+from whinwinch import metrics
+from whinwinch.messages import Importance, Outcome, Reason
+
+
+class MetricsTest(unittest.TestCase):
+    def setUp(self):
+        self.metrics = metrics.Metrics(lambda: [metrics.Gauge("members", 4)])
+
+    def lines(self):
+        return self.metrics.render_metrics().splitlines()
+
+    def test_renders_counters_and_gauges(self):
+        self.metrics.count_outcome("archive", Outcome.NOT_RUN, Reason.LEVEL)
+        self.metrics.count_retry("archive")
+        self.metrics.count_claim('w"o\\n')
+        lines = self.lines()
+        self.assertIn(
+            'whinwinch_calls_total{service="archive",outcome="not-run",'
+            'reason="admission-level"} 1',
+            lines,
+        )
+        self.assertIn('whinwinch_retries_total{service="archive"} 1', lines)
+        self.assertIn('whinwinch_claims_total{result="w\\"o\\\\n"} 1', lines)
+        self.assertIn("whinwinch_members 4", lines)
+
+    def test_latency_by_service_and_importance(self):
+        for milliseconds in range(1, 101):
+            self.metrics.record_latency("archive", Importance.HIGH, milliseconds / 1000)
+        self.metrics.record_latency("archive", Importance.LOW, 1e9)
+        values = dict(line.rsplit(" ", 1) for line in self.lines())
+        labels = 'service="archive",importance="high"'
+        name = "whinwinch_latency_seconds"
+        p90 = float(values[f'{name}{{{labels},quantile="0.9"}}'])
+        self.assertAlmostEqual(p90, 0.09, delta=0.001)
+        self.assertEqual(values[f"{name}_count{{{labels}}}"], "100")
+        self.assertEqual(values[f"{name}_sum{{{labels}}}"], "5.05")
+
+    def test_made_up_services_are_counted_together(self):
+        """A caller asks for a new service name with every request.
+
+        Were each kept, the daemon's memory would grow until it is killed.
+        """
+        for number in range(5 * metrics.MAX_SERVICES):
+            self.metrics.record_latency(f"s{number}", Importance.LOW, 0.001)
+            self.metrics.count_retry(f"s{number}")
+            self.metrics.count("x", metrics.Label("n", str(number)))
+        lines = self.lines()
+        retries = [line for line in lines if "retries_total" in line]
+        self.assertEqual(len(retries), metrics.MAX_SERVICES + 1)
+        rest = 4 * metrics.MAX_SERVICES
+        self.assertIn(f'whinwinch_retries_total{{service="other"}} {rest}', retries)
+        for number in range(2 * metrics.MAX_COUNTERS):
+            self.metrics.count("y", metrics.Label("n", str(number)))
+        self.assertLess(len(self.lines()), 2 * metrics.MAX_COUNTERS)
+
+    def test_threads_lose_no_count(self):
+        def record():
+            for _ in range(500):
+                self.metrics.record_latency("a", Importance.LOW, 0.01)
+                self.metrics.count_retry("a")
+
+        threads = [threading.Thread(target=record) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        lines = self.lines()
+        self.assertIn('whinwinch_retries_total{service="a"} 2000', lines)
+        count = 'latency_seconds_count{service="a",importance="low"} 2000'
+        self.assertIn(f"whinwinch_{count}", lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/whinwinch/metrics.py
@@ -0,0 +1,216 @@
+"""Latency histograms and counters of a daemon, as text for a collector.
+
+Each series costs memory for ever, so all sets of labels are bounded: a caller
+who makes up service names would otherwise fill the daemon's memory. What is
+beyond the bound is counted under `OTHER`. Pass names of services that exist;
+made-up ones would push real ones out of the bound.
+"""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from .messages import Importance
+
+PREFIX = "whinwinch"
+OTHER = "other"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+# Microseconds. Below a tenth of a millisecond nothing is decided by latency;
+# beyond a minute callers have long gone. Two digits tell 1.4 ms from 1.41 ms.
+LOWEST = 100
+HIGHEST = 60_000_000
+DIGITS = 2
+# Bytes of one count; four of them hold 4 * 10**9 calls of one bucket.
+WORD_SIZE = 4
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+# A daemon serves one service and calls a few; as entry it may meet all of
+# them. One histogram has 11 kB, so 64 services at 4 importances have 3 MB.
+MAX_SERVICES = 64
+MAX_COUNTERS = 1024
+
+MICROSECONDS = 1_000_000
+
+
+class Label(NamedTuple):
+    """A label of a series."""
+
+    name: str
+    value: str
+
+
+class Gauge(NamedTuple):
+    """A value of this moment.
+
+    Attributes:
+        name: Name of the series without the prefix.
+        value: Its value.
+        labels: Its labels.
+    """
+
+    name: str
+    value: float
+    labels: tuple[Label, ...] = ()
+
+
+class _Counter(NamedTuple):
+    """What a counter counts: its name without the prefix, and its labels."""
+
+    name: str
+    labels: tuple[Label, ...]
+
+
+class _Latency:
+    """Latencies of one service at one importance."""
+
+    def __init__(self):
+        self.histogram = HdrHistogram(LOWEST, HIGHEST, DIGITS, word_size=WORD_SIZE)
+        self.seconds = 0.0
+
+
+class Metrics:
+    """Counters and histograms; safe to use from all threads.
+
+    Args:
+        list_gauges: Function without arguments that returns the `Gauge`s of the
+            moment. Called for each rendering only.
+    """
+
+    def __init__(self, list_gauges: Callable[[], list[Gauge]] = list):
+        self._lock = threading.Lock()
+        self._latencies = {}
+        self._services = set()
+        self._counters = {}
+        self._list_gauges = list_gauges
+
+    def record_latency(self, service, importance, seconds):
+        """Record how long a call took that got an answer.
+
+        Args:
+            service: Name of the called service.
+            importance: `messages.Importance` of the call.
+            seconds: Time from its arrival to its answer.
+        """
+        value = min(max(int(seconds * MICROSECONDS), LOWEST), HIGHEST)
+        with self._lock:
+            latency = self._latencies.get((service, importance))
+            if latency is None:
+                latency = self._add_latency(service, importance)
+            latency.histogram.record_value(value)
+            latency.seconds += seconds
+
+    def count_outcome(self, service, outcome, reason):
+        """Count how a call ended.
+
+        Args:
+            service: Name of the called service.
+            outcome: `messages.Outcome`.
+            reason: `messages.Reason`; NONE for a completed call.
+        """
+        self.count(
+            "calls_total",
+            Label("service", self._bound_service(service)),
+            Label("outcome", outcome.value),
+            Label("reason", reason.value),
+        )
+
+    def count_retry(self, service):
+        """Count a retry sent to a service."""
+        self.count("retries_total", Label("service", self._bound_service(service)))
+
+    def count_claim(self, result):
+        """Count a claim of non-idempotent work by its result.
+
+        Args:
+            result: A short fixed text such as ``won``, ``lost`` or ``log-down``.
+        """
+        self.count("claims_total", Label("result", result))
+
+    def count_event(self, event):
+        """Count an event that has no metric of its own.
+
+        Args:
+            event: A short fixed text such as ``late-answer-dropped``.
+        """
+        self.count("events_total", Label("event", event))
+
+    def count(self, name, *labels, step=1):
+        """Add to a counter.
+
+        Args:
+            name: Name of the series without the prefix.
+            *labels: `Label`s, always in the same order for a name.
+            step: How much to add.
+        """
+        counter = _Counter(name, labels)
+        with self._lock:
+            if counter not in self._counters and len(self._counters) >= MAX_COUNTERS:
+                counter = _Counter(name, (Label(OTHER, OTHER),))
+            self._counters[counter] = self._counters.get(counter, 0) + step
+
+    def render_metrics(self):
+        """Return all series as text, one ``name{labels} value`` a line."""
+        with self._lock:
+            counters = sorted(self._counters.items())
+            latencies = sorted(self._latencies.items())
+            lines = [
+                line for key, latency in latencies for line in _render(key, latency)
+            ]
+        lines += [_format(counter, value) for counter, value in counters]
+        lines += [
+            _format(_Counter(gauge.name, gauge.labels), gauge.value)
+            for gauge in self._list_gauges()
+        ]
+        return "\n".join(lines) + "\n"
+
+    def _add_latency(self, service, importance):
+        """Return the latencies of a new series; the lock is held."""
+        key = (self._add_service(service), importance)
+        return self._latencies.setdefault(key, _Latency())
+
+    def _bound_service(self, service):
+        if service in self._services:
+            return service
+        with self._lock:
+            return self._add_service(service)
+
+    def _add_service(self, service):
+        """Return the service, `OTHER` when there are too many; the lock is held."""
+        if service in self._services:
+            return service
+        if len(self._services) >= MAX_SERVICES:
+            return OTHER
+        self._services.add(service)
+        return service
+
+
+def _render(key, latency):
+    """Yield the lines of one histogram."""
+    service, importance = key
+    labels = (
+        Label("service", service),
+        Label("importance", Importance(importance).name.lower()),
+    )
+    for quantile in QUANTILES:
+        value = latency.histogram.get_value_at_percentile(quantile * 100)
+        series = _Counter(
+            "latency_seconds", (*labels, Label("quantile", str(quantile)))
+        )
+        yield _format(series, value / MICROSECONDS)
+    count = latency.histogram.get_total_count()
+    yield _format(_Counter("latency_seconds_sum", labels), round(latency.seconds, 6))
+    yield _format(_Counter("latency_seconds_count", labels), count)
+
+
+def _format(counter, value):
+    labels = ",".join(
+        f'{label.name}="{_escape(label.value)}"' for label in counter.labels
+    )
+    shown = f"{{{labels}}}" if labels else ""
+    return f"{PREFIX}_{counter.name}{shown} {value}"
+
+
+def _escape(value):
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/whinwinch/operators/watch.py
@@ -0,0 +1,117 @@
+"""Watches: streams of the changes after a version, one JSON line each."""
+
+import json
+import threading
+from collections.abc import Callable
+from typing import NamedTuple, NotRequired, TypedDict
+
+from .store import VersionTooOld
+
+# Seconds between the lines that are sent when nothing changes. Without them a
+# client whose connection broke silently would wait for changes that can't come,
+# and its place would stay taken here, because only a failed write shows it.
+HEARTBEAT = 5.0
+DEFAULT_TIMEOUT = 60.0
+MAX_TIMEOUT = 3600.0
+# Each watch holds a thread of the HTTP server all the time.
+DEFAULT_MAX_WATCHERS = 8
+
+TYPE_CHANGED = "changed"
+TYPE_DELETED = "deleted"
+TYPE_CURRENT = "current"
+TYPE_TOO_OLD = "too-old"
+
+
+class WatchLine(TypedDict):
+    """JSON form of one line of a watch.
+
+    A line of type ``current`` says that nothing changed up to its version, one
+    of type ``too-old`` that the watch can't go on and the list is needed.
+    """
+
+    type: str
+    version: int
+    kind: NotRequired[str]
+    name: NotRequired[str]
+    spec: NotRequired[dict]
+    author: NotRequired[str]
+    changed: NotRequired[float]
+
+
+class Watch(NamedTuple):
+    """What a watcher asked for.
+
+    Attributes:
+        version: Version of the collection that it knows.
+        timeout: Seconds after which the stream ends.
+    """
+
+    version: int
+    timeout: float
+
+
+class Watchers:
+    """Number of watches under way, with its limit.
+
+    Args:
+        limit: Most watches at once.
+    """
+
+    def __init__(self, limit=DEFAULT_MAX_WATCHERS):
+        self._places = threading.BoundedSemaphore(limit)
+        self.limit = limit
+
+    def try_enter(self):
+        """Take a place; return whether there was one."""
+        return self._places.acquire(blocking=False)
+
+    def leave(self):
+        """Give a place back."""
+        self._places.release()
+
+
+def stream_changes(store, watch, clock: Callable[[], float]):
+    """Yield the lines of a watch until its time is over.
+
+    No change is missed or repeated: each round asks for what came after the
+    last version that was sent.
+
+    Args:
+        store: A `store.Store`.
+        watch: A `Watch`.
+        clock: Function that returns the time in seconds.
+    """
+    end = clock() + watch.timeout
+    version = watch.version
+    yield encode_line(WatchLine(type=TYPE_CURRENT, version=version))
+    while not store.closed and (left := end - clock()) > 0:
+        try:
+            events = store.wait_changes(version, min(left, HEARTBEAT))
+        except VersionTooOld as error:
+            yield encode_line(WatchLine(type=TYPE_TOO_OLD, version=error.oldest))
+            return
+        for event in events:
+            yield encode_line(format_event(event))
+            version = event.version
+        if not events:
+            yield encode_line(WatchLine(type=TYPE_CURRENT, version=version))
+
+
+def format_event(event):
+    """Return the line of an event."""
+    line = WatchLine(
+        type=TYPE_DELETED if event.body is None else TYPE_CHANGED,
+        version=event.version,
+        kind=event.kind,
+        name=event.name,
+        author=event.author,
+        changed=event.changed,
+    )
+    if event.body is not None:
+        line["spec"] = event.body
+    return line
+
+
+def encode_line(line):
+    """Return a line's bytes."""
+    return json.dumps(line).encode() + b"\n"
