Let the store work on the configuration of the core

The store kept its own window of changes while the configuration keeps one too; the second is gone. A copy of an append that the log took twice no longer looks like a change to watches. Peers' tokens are checked against the setting as the server of daemons calls it.

--- a/whinwinch/operators/access.py
+++ b/whinwinch/operators/access.py
@@ -1,7 +1,7 @@
 """Who may use the resource API, and which daemons may call each other.
 
-Only digests of the tokens are kept. A token that stood in an object could get
-into a log line or a traceback through its `repr`; its digest there is harmless.
+Of operators' tokens only digests are kept. A token that stood in an object could
+get into a log line or a traceback through its `repr`; its digest there is harmless.
 """
 
 import hashlib
@@ -17,8 +17,6 @@
 MIN_TOKEN = 16
 MAX_TOKEN = 512
 SCHEME = "bearer"
-# Name of the gRPC metadata entry that carries the token between daemons.
-PEER_METADATA = "whinwinch-peer-token"
 
 
 class Operator(NamedTuple):
@@ -77,8 +75,8 @@
     return tuple(operators)
 
 
-def parse_peer_tokens(text, place="WHINWINCH_PEER_TOKENS"):
-    """Read the tokens that daemons show each other from a setting.
+def check_peer_setting(text, place="WHINWINCH_PEER_TOKEN"):
+    """Check the setting with the tokens that daemons show each other.
 
     Args:
         text: Tokens with commas between them. The first is sent, all are
@@ -86,20 +84,15 @@
             last everywhere, then move it first, then drop the old one.
         place: Name of the setting, for findings.
 
-    Returns:
-        A tuple of digests, empty when the setting is.
-
     Raises:
         errors.InputErrors: With all findings; none shows a token.
     """
-    tokens = _split(text)
     findings = [
         finding
-        for index, token in enumerate(tokens)
+        for index, token in enumerate(_split(text))
         for finding in _check_token(token, f"{place}[{index}]")
     ]
     errors.raise_findings("tokens between daemons", findings)
-    return tuple(digest_token(token) for token in tokens)
 
 
 def choose_peer_token(text):
@@ -138,19 +131,17 @@
     return author
 
 
-def check_peer_token(digests, token):
+def check_peer_token(header, text):
     """Return whether another daemon's token is known.
 
     Args:
-        digests: Tuple of digests from `parse_peer_tokens`. When it is empty,
-            every caller is taken for a daemon.
-        token: What the caller sent, or None.
+        header: What the caller sent, ``Bearer TOKEN``.
+        text: The setting, as for `check_peer_setting`.
     """
-    if not digests:
-        return True
-    digest = digest_token(token or "")
-    matches = [hmac.compare_digest(known, digest) for known in digests]
-    return any(matches)
+    scheme, _, token = (header or "").partition(" ")
+    given = token.encode("utf-8", "replace")
+    matches = [hmac.compare_digest(known.encode(), given) for known in _split(text)]
+    return scheme.lower() == SCHEME and any(matches)
 
 
 def digest_token(token):
--- a/whinwinch/operators/api.py
+++ b/whinwinch/operators/api.py
@@ -16,7 +16,7 @@
 import cherrypy
 from absl import logging
 
-from .. import errors, resources
+from .. import configuration, errors, resources
 from . import access, store, watch
 
 MOUNT = "/admin"
@@ -87,9 +87,6 @@
     Attributes:
         store: The `store.Store`.
         operators: Tuple of `access.Operator`; empty closes the API.
-        make_change: Returns a `configuration.Change` from the keyword arguments
-            ``change_id``, ``kind``, ``name``, ``replaces``, ``body``,
-            ``author`` and ``made``.
         find_status: Returns the JSON form of the daemon's status.
         render_metrics: Returns the metrics as text.
         max_key_window: Longest window for keys in seconds.
@@ -101,7 +98,6 @@
 
     store: store.Store
     operators: tuple[access.Operator, ...]
-    make_change: Callable[..., Any]
     find_status: Callable[[], Any] = dict
     render_metrics: Callable[[], str] = str
     max_key_window: float = resources.MAX_KEY_WINDOW
@@ -256,7 +252,7 @@
         """Propose a change; return the verdict of one that was accepted."""
         if present is not None and 0 < replaces < present.version:
             raise _conflict(name, present)
-        change = self._parts.make_change(
+        change = configuration.Change(
             change_id=uuid.uuid4().hex,
             kind=resources.KIND_SERVICE,
             name=name,
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -8,45 +8,21 @@
 
 import collections
 import enum
-import json
 import threading
 import time as clocks
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from absl import logging
 
-from .. import errors, resources
+from .. import configuration, errors, resources
+from ..configuration import Ground
+from ..logservice import streams
 
-# Changes kept for watches that come back. 1,600 changes a day make this eight
-# hours; a watcher that was away for longer lists again.
-MAX_EVENTS = 512
-# Bytes of JSON in the changes kept. A daemon's control has 32 MB for all.
-MAX_EVENT_BYTES = 2 * 1024 * 1024
 # Entries of the history, which hold no resource bodies.
 MAX_HISTORY = 1024
 
 
-class Event(NamedTuple):
-    """One accepted change, as watches see it.
-
-    Attributes:
-        version: Version of the collection that this change made.
-        kind: Kind of the resource.
-        name: Name of the resource.
-        body: The resource's ``spec`` after the change, None for a deletion.
-        author: Who made it.
-        changed: When the log took it, in seconds of the log's clock.
-    """
-
-    version: int
-    kind: str
-    name: str
-    body: dict | None
-    author: str
-    changed: float
-
-
 class HistoryEntry(NamedTuple):
     """One proposed change, accepted or not.
 
@@ -103,7 +79,7 @@
     decision: Decision
     version: int = 0
     reason: str = ""
-    resource: Any = None
+    resource: configuration.Resource | None = None
 
 
 class View(NamedTuple):
@@ -150,76 +126,39 @@
         self.oldest = oldest
 
 
-class _Kept(NamedTuple):
-    """An event and the bytes of its body as JSON."""
-
-    event: Event
-    size: int
-
-
-class _Window:
-    """The last events, bounded by number and by bytes."""
-
-    def __init__(self):
-        self._kept = collections.deque()
-        self._size = 0
-        # Every event after this version is in the window.
-        self._floor = 0
-
-    def add(self, event):
-        """Add an event and drop what is beyond the bounds."""
-        kept = _Kept(event, len(json.dumps(event.body)))
-        self._kept.append(kept)
-        self._size += kept.size
-        while len(self._kept) > MAX_EVENTS or self._size > MAX_EVENT_BYTES:
-            dropped = self._kept.popleft()
-            self._size -= dropped.size
-            self._floor = dropped.event.version
-
-    def restart(self, version):
-        """Forget all events, because not all up to a version are known."""
-        self._kept.clear()
-        self._size = 0
-        self._floor = version
+class _Pending:
+    """A change under way, and its verdict once it is known."""
 
-    def list_after(self, version):
-        """Return the events after a version, oldest first."""
-        if version < self._floor:
-            raise VersionTooOld(version, self._floor)
-        found = []
-        for kept in reversed(self._kept):
-            if kept.event.version <= version:
-                break
-            found.append(kept.event)
-        return tuple(reversed(found))
+    def __init__(self, change):
+        self.change = change
+        self.verdict = None
 
 
 class Store:
     """Accepted resources, changes under way and those who wait for them.
 
     Args:
-        configuration: A `configuration.Configuration`; only this store may
-            change it afterwards.
+        accepted: A `configuration.Configuration`; only this store may change it
+            afterwards.
         append: Function of stream, data and timeout in seconds that appends to
             the log and returns the offset. It raises an exception with an
             attribute ``written``: False when the record is surely not in the
             log. Every other exception counts as not known.
-        encode: Function that turns a `configuration.Change` into bytes.
         stream: Name of the log's stream of configuration.
         clock: The clock that `propose` measures its timeout with, in seconds.
     """
 
-    def __init__(self, configuration, append, encode, stream, clock=clocks.monotonic):
-        self._configuration = configuration
+    def __init__(
+        self, accepted, append, stream=streams.CONFIGURATION, clock=clocks.monotonic
+    ):
+        self._configuration = accepted
         self._append = append
-        self._encode = encode
         self._stream = stream
         self._clock = clock
         self._news = threading.Condition()
         self._view = View()
-        self._window = _Window()
         self._history = collections.deque(maxlen=MAX_HISTORY)
-        self._verdicts = {}
+        self._pending = {}
         self._ready = False
         self._closed = False
         self._rebuild()
@@ -275,15 +214,35 @@
             The `configuration.Applied` that the configuration gave.
         """
         with self._news:
-            before = self._configuration.version
             applied = self._configuration.apply(offset, time, data)
-            if applied.change is not None:
-                self._note_change(offset, time, applied)
-            elif self._configuration.version != before:
-                self._rebuild()
-            self._news.notify_all()
+            if applied.ground is Ground.ACCEPTED:
+                self._publish(applied.change)
+            if applied.ground in (Ground.ACCEPTED, Ground.CONFLICT):
+                self._history.append(_make_entry(offset, time, applied, self.version))
+            self._settle()
         return applied
 
+    def install_snapshot(self, data):
+        """Take in a snapshot of the log or of a peer, if it is newer.
+
+        Args:
+            data: Its bytes.
+
+        Returns:
+            Whether it was taken in.
+        """
+        with self._news:
+            installed = self._configuration.install(data)
+            if installed:
+                self._rebuild()
+                self._settle()
+        return installed
+
+    def encode_snapshot(self):
+        """Return the log record of a snapshot of everything in force."""
+        with self._news:
+            return self._configuration.encode_snapshot()
+
     def propose(self, change, timeout):
         """Append a change to the log and wait until its fate has been read.
 
@@ -300,17 +259,18 @@
             A `Verdict`.
         """
         end = self._clock() + timeout
+        pending = _Pending(change)
         with self._news:
-            self._verdicts[change.change_id] = None
+            self._pending[change.change_id] = pending
         try:
             verdict = self._append_change(change, timeout)
             if verdict.decision is Decision.NOT_WRITTEN:
                 return verdict
-            left = max(0.0, end - self._clock())
-            return self._wait_verdict(change.change_id, left) or verdict
+            self._wait_verdict(pending, max(0.0, end - self._clock()))
+            return pending.verdict or verdict
         finally:
             with self._news:
-                del self._verdicts[change.change_id]
+                del self._pending[change.change_id]
 
     def wait_changes(self, version, timeout):
         """Wait until there are accepted changes after a version.
@@ -323,7 +283,8 @@
             timeout: Seconds, at most.
 
         Returns:
-            A tuple of `Event`, oldest first; empty after the timeout.
+            A tuple of `configuration.Event`, oldest first; empty after the
+            timeout.
 
         Raises:
             VersionTooOld: When some change after the version isn't known here.
@@ -332,12 +293,15 @@
             self._news.wait_for(
                 lambda: self._configuration.version > version or self._closed, timeout
             )
-            return self._window.list_after(version)
+            found = self._configuration.changes_since(version)
+        if isinstance(found, configuration.TooOld):
+            raise VersionTooOld(version, found.oldest)
+        return found
 
     def _append_change(self, change, timeout):
         """Append and return what is known before the change has been read."""
         try:
-            self._append(self._stream, self._encode(change), timeout)
+            self._append(self._stream, configuration.encode_change(change), timeout)
         except Exception as error:
             logging.warning("change=%s append failed: %s", change.change_id, error)
             if getattr(error, "written", None) is False:
@@ -346,55 +310,56 @@
         reason = "the log took the change, but it has not been read back yet"
         return Verdict(Decision.UNKNOWN, reason=reason)
 
-    def _wait_verdict(self, change_id, timeout):
+    def _wait_verdict(self, pending, timeout):
         with self._news:
-            self._news.wait_for(
-                lambda: self._verdicts[change_id] or self._closed, timeout
-            )
-            return self._verdicts[change_id]
-
-    def _note_change(self, offset, time, applied):
-        change = applied.change
-        version = self._configuration.version if applied.accepted else 0
-        # The first record of a change decides; a second one is a copy that the
-        # log took of the same append, and would look like a conflict.
-        if self._verdicts.get(change.change_id, self) is None:
-            decision = Decision.ACCEPTED if applied.accepted else Decision.REJECTED
-            resource = self._configuration.get(change.kind, change.name)
-            verdict = Verdict(decision, version, applied.reason, resource)
-            self._verdicts[change.change_id] = verdict
-        self._history.append(_make_entry(offset, time, applied, self.version))
-        if applied.accepted:
-            self._publish(change, time)
-            event = Event(
-                version, change.kind, change.name, change.body, change.author, time
-            )
-            self._window.add(event)
+            self._news.wait_for(lambda: pending.verdict or self._closed, timeout)
 
-    def _publish(self, change, time):
+    def _settle(self):
+        """Give their verdicts to changes that have been read; wake all waiting.
+
+        The decision is looked up instead of taken from the record just read: a
+        daemon that fell behind may learn it from a snapshot.
+        """
+        for pending in self._pending.values():
+            decision = self._configuration.find_decision(pending.change.change_id)
+            if pending.verdict is None and decision is not None:
+                pending.verdict = self._make_verdict(pending.change, decision)
+        self._news.notify_all()
+
+    def _make_verdict(self, change, decision):
+        present = self._configuration.get(change.kind, change.name)
+        if not decision.accepted:
+            state = f"at version {present.version}" if present else "not there"
+            return Verdict(Decision.REJECTED, reason=f"{change.name} is {state}")
+        if present is not None and present.version != decision.version:
+            present = None
+        return Verdict(Decision.ACCEPTED, decision.version, resource=present)
+
+    def _publish(self, change):
         """Put a view with one change more in place of the last."""
         key = (change.kind, change.name)
         services = dict(self._view.services)
         accepted = dict(self._view.resources)
         if change.body is None:
-            accepted.pop(key, None)
+            del accepted[key]
             services.pop(change.name, None)
         else:
-            accepted[key] = self._configuration.get(change.kind, change.name)
-            services[change.name] = _read_service(change.name, change.body)
-        self._set_view(services, accepted, time)
+            accepted[key] = self._configuration.get(*key)
+            if change.kind == resources.KIND_SERVICE:
+                services[change.name] = _read_service(change.name, change.body)
+        self._set_view(services, accepted, self._configuration.time)
 
     def _rebuild(self):
         """Publish everything anew, after a snapshot took the place of changes."""
-        found = list(self._configuration.resources())
+        found = self._configuration.resources()
         accepted = {(resource.kind, resource.name): resource for resource in found}
         services = {
             resource.name: _read_service(resource.name, resource.body)
             for resource in found
+            if resource.kind == resources.KIND_SERVICE
         }
         changed = max((resource.changed for resource in found), default=0.0)
         self._set_view(services, accepted, changed)
-        self._window.restart(self._configuration.version)
 
     def _set_view(self, services, accepted, changed):
         self._view = View(
@@ -417,7 +382,7 @@
         made=change.made,
         deleted=change.body is None,
         accepted=applied.accepted,
-        reason=applied.reason,
+        reason="" if applied.accepted else applied.ground.value,
         version=version,
     )
 
--- a/whinwinch/operators/watch.py
+++ b/whinwinch/operators/watch.py
@@ -34,6 +34,7 @@
     kind: NotRequired[str]
     name: NotRequired[str]
     spec: NotRequired[dict]
+    change_id: NotRequired[str]
     author: NotRequired[str]
     changed: NotRequired[float]
 
@@ -98,17 +99,18 @@
 
 
 def format_event(event):
-    """Return the line of an event."""
+    """Return the line of a `configuration.Event`."""
     line = WatchLine(
-        type=TYPE_DELETED if event.body is None else TYPE_CHANGED,
+        type=TYPE_DELETED if event.resource is None else TYPE_CHANGED,
         version=event.version,
         kind=event.kind,
         name=event.name,
+        change_id=event.change_id,
         author=event.author,
         changed=event.changed,
     )
-    if event.body is not None:
-        line["spec"] = event.body
+    if event.resource is not None:
+        line["spec"] = event.resource.body
     return line
 
 
