--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,185 @@
+"""The Press's mesh on this machine: an ordinary day, then three times too much.
+
+Starts the stand-in log, 16 backend servers and a daemon beside each, applies
+the resources, compares a chain with and without daemons, plays the recorded
+trace as it is, then at three times what submissions can carry with callers that
+retry hard. Holds what the callers were told against what the backend servers
+ran, and ends with 1 if a promise was broken, with 2 if the mesh didn't come up
+or didn't stop by itself.
+"""
+
+import argparse
+import contextlib
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+from standins import caller, processes, trace
+
+from . import mesh, report
+
+TRACE = pathlib.Path(__file__).with_name("press.jsonl")
+OVERLOAD = 3.0
+PHASE_SECONDS = 12.0
+CALLERS = 3
+CALLER_THREADS = 160
+PHASE_TIMEOUT = PHASE_SECONDS + 20.0
+CHAINS = 150
+WARM_UP = 15
+CHAIN = trace.Request(
+    0.0,
+    "catalog",
+    path="/orders",
+    next="submissions/decisions,archive/listings",
+    work=0.0,
+    timeout=5.0,
+)
+
+BROKEN, FAILED = 1, 2
+
+
+class Interrupted(Exception):
+    """SIGTERM came."""
+
+
+def main(arguments=None):
+    """Run the demo and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", help="directory for the processes' output")
+    options = parser.parse_args(arguments)
+    signal.signal(signal.SIGTERM, raise_interrupted)
+    with contextlib.ExitStack() as stack:
+        directory = options.output or stack.enter_context(
+            tempfile.TemporaryDirectory(prefix="whinwinch-demo-")
+        )
+        pathlib.Path(directory).mkdir(parents=True, exist_ok=True)
+        try:
+            with processes.Processes(directory) as running:
+                return run(running, options.seed)
+        except processes.NotReady as error:
+            print(f"error: {error}", file=sys.stderr)
+            return FAILED
+        except (KeyboardInterrupt, Interrupted):
+            print("interrupted; everything was stopped", file=sys.stderr)
+            return FAILED
+
+
+def raise_interrupted(*_):
+    """Turn SIGTERM into an exception, so that the processes get stopped."""
+    raise Interrupted
+
+
+def run(running, seed):
+    """Start, measure, play both phases, stop; return the exit status."""
+    began = time.monotonic()
+    nodes = mesh.place_nodes()
+    press = mesh.start_mesh(running, nodes)
+    mesh.wait_until_ready(running, press)
+    mesh.apply_resources(running, press)
+    mesh.wait_until_in_force(running, press)
+    say(f"{len(nodes)} endpoints ready after {time.monotonic() - began:.1f} s")
+    say("", "the same chain of three services, one at a time, no service time:")
+    say(*report.form_latency(*measure_chain(nodes)))
+    promises = play_phases(running, nodes, seed)
+    killed = mesh.stop_mesh(running, press)
+    if killed:
+        say("", f"didn't stop by themselves: {', '.join(killed)}")
+    say("", f"took {time.monotonic() - began:.1f} s")
+    if any(promise.broken for promise in promises):
+        return BROKEN
+    return FAILED if killed else 0
+
+
+def play_phases(running, nodes, seed):
+    """Play the trace as it is, then as an overload; return all promises."""
+    requests = trace.read_trace(TRACE.read_text().splitlines())
+    rate = find_overload(requests)
+    ordinary = "an ordinary day, as recorded"
+    overload = f"submissions asked for {OVERLOAD:.0f} times what it can carry"
+    return [
+        *play_phase(running, nodes, seed, ordinary, 1.0),
+        *play_phase(running, nodes, seed, overload, rate),
+    ]
+
+
+def find_overload(requests):
+    """Return the multiple of the trace that is `OVERLOAD` for submissions."""
+    wanted = sum(
+        request.service == "submissions" or "submissions" in request.next
+        for request in requests
+    )
+    recorded = wanted / trace.find_length(requests)
+    (capacity,) = (
+        service.capacity for service in mesh.SERVICES if service.name == "submissions"
+    )
+    return OVERLOAD * capacity / recorded
+
+
+def play_phase(running, nodes, seed, title, rate):
+    """Play the trace at a rate by several callers; print and return the promises."""
+    results = play_trace(running, nodes, seed, rate)
+    by_key, by_request = mesh.read_runs(nodes)
+    budgets = report.read_budgets(mesh.RESOURCES)
+    promises = report.check_promises(results, by_key, by_request, budgets)
+    say("", *report.form_table(f"{title} (x{rate:.2f})", results, PHASE_SECONDS))
+    say(*report.form_notes(results), *report.form_promises(promises))
+    return promises
+
+
+def play_trace(running, nodes, seed, rate):
+    """Play the trace by several caller processes and return all results."""
+    arguments = {
+        "--trace": TRACE,
+        "--entries": ",".join(node.entry_url for node in nodes),
+        "--rate": rate,
+        "--seconds": PHASE_SECONDS,
+        "--threads": CALLER_THREADS,
+        "--seed": seed,
+    }
+    flags = [part for pair in arguments.items() for part in pair]
+    callers = [
+        running.start(
+            f"caller-{part}",
+            "standins.caller",
+            [*flags, "--part", f"{part}/{CALLERS}"],
+        )
+        for part in range(CALLERS)
+    ]
+    running.finish(callers, PHASE_TIMEOUT)
+    return [
+        caller.read_result(line)
+        for process in callers
+        for line in (running.directory / f"{process.name}.log").open()
+    ]
+
+
+def measure_chain(nodes):
+    """Return the seconds of each chain without daemons, and through them.
+
+    The two take turns, so that what else the machine does meets both alike.
+    """
+    catalogs = [node for node in nodes if node.service.name == "catalog"]
+    backends = [node.backend_url for node in catalogs]
+    entries = [node.entry_url for node in catalogs]
+    ways = (caller.build_sender(backends, direct=True), caller.build_sender(entries))
+    seconds = ([], [])
+    for turn in range(WARM_UP + CHAINS):
+        for send, taken in zip(ways, seconds, strict=True):
+            sent = send(CHAIN)
+            if not sent.succeeded:
+                raise processes.NotReady(f"the chain to compare failed: {sent}")
+            if turn >= WARM_UP:
+                taken.append(sent.latency)
+    return seconds
+
+
+def say(*lines):
+    """Print lines at once."""
+    print(*lines, sep="\n", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -10,7 +10,7 @@
 - ``marker=TEXT``: comes back in the answer, and in every answer below it.
 - ``next=submissions/status,archive``: calls the first with the rest as its own
   ``next``. A service without a path gets this request's path.
-- ``work=FACTOR``: factor on the service time.
+- ``work=FACTOR``: factor on the service time, here and below.
 - ``size=BYTES``: fills the answer with the marker, over and over.
 - ``direct=1``: calls go straight to the backend servers given by ``--direct``,
   so that the same chain can be measured without daemons.
@@ -49,6 +49,8 @@
 COLD_FACTOR = 4.0
 MAX_PATIENCE = 5.0
 RETRY_AFTER = "1"
+# What the query of an outgoing call takes over from the request's.
+KEPT = ("marker", "work", "direct")
 
 
 class Call(NamedTuple):
@@ -146,7 +148,7 @@
         return f"http://{addresses[next(turns) % len(addresses)]}{call.path}"
 
     def make_call(call, request, query):
-        kept = {name: query[name] for name in ("marker", "direct") if name in query}
+        kept = {name: query[name] for name in KEPT if name in query}
         if call.rest:
             kept["next"] = call.rest
         headers = {"X-Request-Id": request}
--- /dev/null
+++ b/test/standins/test_demo.py
@@ -0,0 +1,70 @@
+"""Tests of what the demo concludes from its results."""
+
+import unittest
+
+from demo import draw, mesh, report, run
+from standins import caller, trace
+
+BUDGETS = {"royalties": 1}
+
+
+def form_sent(request, outcome, status=200, **more):
+    return caller.Sent(request, outcome, "", status, 0.1, **more)
+
+
+def form_result(*sent, key=""):
+    return caller.Result(0.0, "royalties", "critical", key, 0.0, 0.1, sent)
+
+
+def list_broken(results, by_key=None, by_request=None):
+    promises = report.check_promises(results, by_key or {}, by_request or {}, BUDGETS)
+    return [promise.example for promise in promises if promise.broken]
+
+
+class PromiseTest(unittest.TestCase):
+    def test_all_kept(self):
+        whole = form_result(form_sent("a", "completed", whole=True, retries=1), key="k")
+        refused = form_result(form_sent("b", "not-run", 503))
+        self.assertEqual(list_broken([whole, refused], {"k": 1}, {"a": 1}), [])
+
+    def test_payout_run_twice(self):
+        """A payout runs at two backend servers and overpays a poet."""
+        result = form_result(form_sent("a", "completed", whole=True), key="k")
+        self.assertEqual(list_broken([result], {"k": 2}), ["k"])
+
+    def test_not_run_that_ran(self):
+        """A caller is told "not run" of a request that a backend server ran."""
+        result = form_result(form_sent("a", "not-run", 503), form_sent("b", "unknown"))
+        self.assertEqual(list_broken([result], by_request={"a": 1, "b": 1}), ["a"])
+
+    def test_too_many_retries(self):
+        """The hops together retry a request more often than its budget allows."""
+        result = form_result(form_sent("a", "unknown", 504, retries=2))
+        self.assertEqual(list_broken([result]), ["a"])
+
+    def test_answer_that_is_not_whole(self):
+        """Half of an answer, or another caller's, is delivered as completed."""
+        result = form_result(form_sent("a", "completed"))
+        self.assertEqual(list_broken([result]), ["a"])
+
+    def test_lost_payout(self):
+        """A payout is reported as done that no backend server ever ran."""
+        result = form_result(form_sent("a", "completed", whole=True), key="k")
+        self.assertEqual(list_broken([result]), ["k"])
+
+    def test_unknown_stays_unknown_after_a_refusal(self):
+        result = form_result(form_sent("a", "unknown", 0), form_sent("b", "not-run"))
+        self.assertEqual(report.judge_result(result), "unknown")
+
+
+class TraceTest(unittest.TestCase):
+    def test_recorded_trace_is_the_drawn_one(self):
+        drawn = "".join(trace.write_trace(draw.draw_trace()))
+        self.assertEqual(run.TRACE.read_text(), drawn)
+
+    def test_overload_is_three_times_the_capacity(self):
+        requests = trace.read_trace(run.TRACE.read_text().splitlines())
+        wanted = [each for each in requests if "submissions" in str(each)]
+        rate = len(wanted) / trace.find_length(requests) * run.find_overload(requests)
+        capacity = {each.name: each.capacity for each in mesh.SERVICES}["submissions"]
+        self.assertAlmostEqual(rate, 3 * capacity)
