Put the daemon together, with the operators' commands and joins on the log

Control state is owned by the event loop; the path of a call runs on the threads of cherrypy and grpcio.

--- a/whinwinch/commands.py
+++ b/whinwinch/commands.py
@@ -1,22 +1,18 @@
 """The command line; a thin layer over the library."""
 
 import argparse
-import json
 import os
 import sys
 
 from . import __version__
 from .errors import InputErrors, UserError
+from .operators import commands as operators
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_INTERRUPTED = 130
 
-DEFAULT_SERVER = "http://127.0.0.1:7300"
-SERVER_VARIABLE = "WHINWINCH_SERVER"
-TOKEN_VARIABLE = "WHINWINCH_OPERATOR_TOKEN"
-
 
 def main(arguments=None, environment=os.environ):
     """Run one command.
@@ -87,7 +83,7 @@
 
 def _add_apply(commands):
     parser = _add_operator_command(
-        commands, "apply", "create or replace resources", run_apply
+        commands, "apply", "create or replace resources", operators.run_apply
     )
     parser.add_argument("files", metavar="FILE", nargs="+", help="JSON; - for stdin")
     parser.add_argument(
@@ -99,12 +95,14 @@
 
 
 def _add_get(commands):
-    parser = _add_operator_command(commands, "get", "show resources", run_get)
+    parser = _add_operator_command(commands, "get", "show resources", operators.run_get)
     parser.add_argument("name", nargs="?", help="name of a service; all by default")
 
 
 def _add_delete(commands):
-    parser = _add_operator_command(commands, "delete", "delete a resource", run_delete)
+    parser = _add_operator_command(
+        commands, "delete", "delete a resource", operators.run_delete
+    )
     parser.add_argument("name", help="name of a service")
     parser.add_argument(
         "--if-version", type=int, metavar="N", help="delete only this version"
@@ -113,7 +111,7 @@
 
 def _add_watch(commands):
     parser = _add_operator_command(
-        commands, "watch", "print changes as they take effect", run_watch
+        commands, "watch", "print changes as they take effect", operators.run_watch
     )
     parser.add_argument(
         "--after", type=int, metavar="VERSION", help="begin after this version"
@@ -125,13 +123,13 @@
 
 def _add_history(commands):
     _add_operator_command(
-        commands, "history", "show who changed what and when", run_history
+        commands, "history", "show who changed what and when", operators.run_history
     )
 
 
 def _add_status(commands):
     _add_operator_command(
-        commands, "status", "show what a daemon knows and does", run_status
+        commands, "status", "show what a daemon knows and does", operators.run_status
     )
 
 
@@ -140,7 +138,7 @@
         commands,
         "drain",
         "let the backend server beside a daemon leave without a loss",
-        run_drain,
+        operators.run_drain,
     )
 
 
@@ -157,8 +155,9 @@
     parser.add_argument(
         "--server",
         metavar="URL",
-        help=f"any daemon's address [{SERVER_VARIABLE}; {DEFAULT_SERVER}]; the "
-        f"token is read from {TOKEN_VARIABLE}",
+        help=f"comma-separated addresses of daemons "
+        f"[{operators.SERVER_VARIABLE}; {operators.DEFAULT_SERVER}]; the token is "
+        f"read from {operators.TOKEN_VARIABLE}",
     )
     parser.add_argument(
         "--output", choices=("text", "json"), default="text", help="form of the output"
@@ -180,16 +179,3 @@
     from . import traces
 
     return traces.replay_file(arguments.trace)
-
-
-def connect(arguments, environment):
-    """Return a client of the resource API."""
-    from .operators import client
-
-    server = arguments.server or environment.get(SERVER_VARIABLE, DEFAULT_SERVER)
-    return client.connect(server, environment.get(TOKEN_VARIABLE, ""))
-
-
-def print_json(document):
-    """Print a JSON document on one line, for other programs to read."""
-    print(json.dumps(document), flush=True)
--- /dev/null
+++ b/whinwinch/control.py
@@ -0,0 +1,198 @@
+"""State of a daemon that its event loop owns: backend server, lifecycle, claims.
+
+Other threads reach it by messages to the loop. What they need at every request
+(whether work is taken, who has claimed what) is published or awaited.
+"""
+
+import asyncio
+
+from absl import logging
+
+from . import claims, lifecycle, messages
+from .backends.registry import Registry
+from .lifecycle import Phase
+from .logservice import claimer
+from .logservice.client import LogUnavailable
+
+TICK_INTERVAL = 0.25
+# A claim is decided within the claimer's patience; a thread that waits longer
+# than this waits for a loop that has stopped.
+CLAIM_TIMEOUT = 2 * claimer.PATIENCE
+
+
+class Control:
+    """Owned by the event loop; the methods marked so may be called by threads.
+
+    Args:
+        loop: The event loop.
+        settings: `settings.Settings`.
+        own: Identifier of this daemon, new at every start.
+        membership: `membership.Membership`.
+        log: `logservice.client.LogClient`.
+        flights: `flight.FlightCounter`.
+        tick: Called at every tick with the loop's time.
+    """
+
+    def __init__(self, loop, settings, own, membership, log, flights, tick):
+        self._loop = loop
+        self._settings = settings
+        self._own = own
+        self._membership = membership
+        self._log = log
+        self._flights = flights
+        self._tick = tick
+        self._registry = Registry(settings.lease)
+        self._lifecycle = lifecycle.Lifecycle()
+        self._claimers = {}
+        self._claimer_tasks = set()
+        self._install = None
+        self.stopped = asyncio.Event()
+
+    def connect(self, install):
+        """Say who is told of a new announcement: the gatekeeper."""
+        self._install = install
+
+    @property
+    def announcement(self):
+        """The present announcement, or None."""
+        return self._registry.announcement
+
+    @property
+    def phase(self):
+        """The daemon's `lifecycle.Phase`; may be read by any thread."""
+        return self._lifecycle.phase
+
+    def admits(self, way):
+        """Return whether work of a `lifecycle.Way` is taken; for any thread."""
+        return lifecycle.admits(self._lifecycle, way)
+
+    def announce_soon(self, announcement):
+        """Take an announcement; for any thread."""
+        self._loop.call_soon_threadsafe(self._announce, announcement)
+
+    def withdraw_soon(self):
+        """Let the backend server leave; for any thread."""
+        self._loop.call_soon_threadsafe(self._withdraw)
+
+    def drain_soon(self):
+        """Leave in good order and stop; for any thread."""
+        self._loop.call_soon_threadsafe(self.begin_leaving)
+
+    def claim(self, request):
+        """Return the log's verdict on a claim; blocks; for request threads."""
+        future = asyncio.run_coroutine_threadsafe(self._claim(request), self._loop)
+        try:
+            return future.result(CLAIM_TIMEOUT)
+        except TimeoutError:
+            future.cancel()
+            return claims.ClaimVerdict(
+                claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
+            )
+
+    def note_end(self, request, answer):
+        """Note in the log how claimed work ended; for request threads."""
+        self._loop.call_soon_threadsafe(self._note_end, request, answer)
+
+    def begin_leaving(self):
+        """Take no new work, finish what is in flight, then stop."""
+        if self.phase is not Phase.SERVING:
+            return
+        now = self._loop.time()
+        self._lifecycle = lifecycle.begin_leaving(
+            self._lifecycle,
+            now,
+            self._settings.stop_grace,
+            self._flights.last_deadline,
+        )
+        logging.info("lifecycle phase=leaving until=%.3f", self._lifecycle.until)
+        self._publish_membership(now)
+
+    async def run(self):
+        """Do at every tick what is due, until the daemon has stopped."""
+        while self.phase is not Phase.STOPPED:
+            now = self._loop.time()
+            self._expire_announcement(now)
+            self._advance(now)
+            self._tick(now)
+            await asyncio.sleep(TICK_INTERVAL)
+        await self._flush_claims()
+        self.stopped.set()
+
+    def _advance(self, now):
+        before = self.phase
+        self._lifecycle = lifecycle.advance(self._lifecycle, now, self._flights.read())
+        if self.phase is not before:
+            logging.info("lifecycle phase=stopped ground=%r", self._lifecycle.ground)
+
+    def _announce(self, announcement):
+        if not self._registry.announce(announcement, self._loop.time()):
+            return
+        self._lifecycle = lifecycle.mark_backend(self._lifecycle, False)
+        logging.info(
+            "backend announced service=%s address=%s slots=%d",
+            announcement.service,
+            announcement.address,
+            announcement.slots,
+        )
+        self._install(announcement)
+        self._publish_membership(self._loop.time())
+
+    def _withdraw(self):
+        """The backend server drains: no new work, but it ends what it has."""
+        if not self._registry.withdraw():
+            return
+        logging.info("backend withdrawn")
+        self._lifecycle = lifecycle.mark_backend(self._lifecycle, True)
+        self._publish_membership(self._loop.time())
+
+    def _expire_announcement(self, now):
+        """Forget a backend server that has stopped announcing itself."""
+        if self._registry.expire(now):
+            logging.warning("backend lease expired")
+            self._install(None)
+            self._membership.announce("", 0, lifecycle.is_leaving(self._lifecycle), now)
+
+    def _publish_membership(self, now):
+        announcement = self.announcement
+        own = self._membership.own.endpoint
+        service = announcement.service if announcement else own.service
+        slots = announcement.slots if announcement else own.slots
+        leaving = lifecycle.is_leaving(self._lifecycle)
+        self._membership.announce(service, slots, leaving, now)
+
+    async def _claim(self, request):
+        task = self._find_claimer(request.service)
+        return await task.claim(request.key, request.attempt, request.deadline)
+
+    def _note_end(self, request, answer):
+        task = self._find_claimer(request.service)
+        if answer.outcome is messages.Outcome.NOT_RUN:
+            task.release(request.key, request.attempt)
+        elif answer.outcome is messages.Outcome.COMPLETED:
+            task.note_done(request.key, request.attempt, answer.status)
+
+    def _find_claimer(self, service):
+        """Return the claimer of a service; it costs nothing before its first claim."""
+        found = self._claimers.get(service)
+        if found is None:
+            found = claimer.Claimer(
+                self._log,
+                service,
+                self._own,
+                LogUnavailable,
+                state=claims.Claims(window=self._settings.key_window),
+            )
+            self._claimers[service] = found
+            self._claimer_tasks.add(self._loop.create_task(found.run()))
+        return found
+
+    async def _flush_claims(self):
+        """Write the last notes, for a bounded time: they only spare callers waits."""
+        for found in self._claimers.values():
+            try:
+                async with asyncio.timeout(claimer.PATIENCE):
+                    await found.flush()
+            except TimeoutError:
+                logging.warning("claims not flushed: the log does not answer")
+        for task in self._claimer_tasks:
+            task.cancel()
--- /dev/null
+++ b/whinwinch/operators/commands.py
@@ -0,0 +1,165 @@
+"""The operators' commands: thin on the client, text or JSON out."""
+
+import contextlib
+import itertools
+import json
+import sys
+import time
+
+from ..errors import Finding, raise_findings
+
+DEFAULT_SERVER = "http://127.0.0.1:7300"
+SERVER_VARIABLE = "WHINWINCH_SERVER"
+TOKEN_VARIABLE = "WHINWINCH_OPERATOR_TOKEN"
+
+
+def run_apply(arguments, environment):
+    """Create or replace the resources in files."""
+    documents = _read_documents(arguments.files)
+    with _connect(arguments, environment) as client:
+        for document in documents:
+            version = client.apply_service(document, arguments.if_version)
+            name = document["name"]
+            result = {"name": name, "version": version}
+            _print(arguments, result, f"{name} version {version}")
+    return 0
+
+
+def run_get(arguments, environment):
+    """Show one resource, or all."""
+    with _connect(arguments, environment) as client:
+        if arguments.name:
+            service = client.get_service(arguments.name)
+            _print(arguments, service._asdict(), _format_service(service))
+            return 0
+        listing = client.list_services()
+    services = [service._asdict() for service in listing.services]
+    lines = [_format_line(service) for service in listing.services]
+    text = "\n".join([f"collection version {listing.version}", *lines])
+    _print(arguments, {"version": listing.version, "services": services}, text)
+    return 0
+
+
+def run_delete(arguments, environment):
+    """Delete a resource."""
+    with _connect(arguments, environment) as client:
+        version = client.delete_service(arguments.name, arguments.if_version)
+    result = {"name": arguments.name, "version": version}
+    _print(arguments, result, f"{arguments.name} deleted, version {version}")
+    return 0
+
+
+def run_watch(arguments, environment):
+    """Print changes as they take effect, until told to end."""
+    with _connect(arguments, environment) as client:
+        events = client.watch_services(arguments.after)
+        for event in itertools.islice(events, arguments.most):
+            what = "deleted" if event.spec is None else "applied"
+            changed = _format_time(event.changed)
+            text = f"{event.version} {changed} {event.name} {what} by {event.author}"
+            _print(arguments, event._asdict(), text)
+    return 0
+
+
+def run_history(arguments, environment):
+    """Show who changed what and when, the newest first."""
+    with _connect(arguments, environment) as client:
+        changes = client.read_history()
+    lines = [_format_change(change) for change in changes]
+    _print(arguments, {"changes": changes}, "\n".join(lines))
+    return 0
+
+
+def run_status(arguments, environment):
+    """Show what one daemon knows and does."""
+    with _connect(arguments, environment) as client:
+        status = client.read_status()
+    _print(arguments, status, "\n".join(_format_tree(status)))
+    return 0
+
+
+def run_drain(arguments, environment):
+    """Let one daemon and its backend server leave without a loss."""
+    with _connect(arguments, environment) as client:
+        status = client.drain()
+    _print(arguments, status, "leaving")
+    return 0
+
+
+@contextlib.contextmanager
+def _connect(arguments, environment):
+    # Imported late: `--help` and `replay` need no HTTP client.
+    from . import client
+
+    text = arguments.server or environment.get(SERVER_VARIABLE, DEFAULT_SERVER)
+    servers = [server.strip() for server in text.split(",") if server.strip()]
+    wrong = [server for server in servers if not server.startswith("http")]
+    raise_findings(
+        "wrong servers",
+        [
+            Finding(server, "must be a URL such as http://10.0.0.7:7300")
+            for server in wrong
+        ],
+    )
+    connected = client.Client(servers, environment.get(TOKEN_VARIABLE, ""))
+    try:
+        yield connected
+    finally:
+        connected.close()
+
+
+def _read_documents(paths):
+    """Return the resources in files; one file may hold a list of them."""
+    documents = []
+    findings = []
+    for path in paths:
+        try:
+            content = json.loads(_read_text(path))
+        except (OSError, ValueError) as error:
+            findings.append(Finding(path, f"can't be read: {error}"))
+            continue
+        documents.extend(content if isinstance(content, list) else [content])
+    raise_findings("wrong files", findings)
+    return documents
+
+
+def _read_text(path):
+    if path == "-":
+        return sys.stdin.read()
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
+def _print(arguments, document, text):
+    """Print a result in the form asked for, at once, for pipes to see."""
+    print(json.dumps(document) if arguments.output == "json" else text, flush=True)
+
+
+def _format_service(service):
+    head = f"{_format_line(service)}\n"
+    return head + json.dumps(service.spec, indent=2)
+
+
+def _format_line(service):
+    changed = _format_time(service.changed)
+    return f"{service.name} version {service.version} by {service.author} at {changed}"
+
+
+def _format_change(change):
+    what = "delete" if change["deleted"] else "apply"
+    fate = "accepted" if change["accepted"] else f"rejected: {change['reason']}"
+    at = _format_time(change["time"])
+    return f"{at} {change['author']} {what} {change['name']} {fate}"
+
+
+def _format_time(seconds):
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
+
+
+def _format_tree(value, path=""):
+    """Yield a line for each leaf of a JSON document: its path and its value."""
+    if not isinstance(value, dict):
+        yield f"{path} {json.dumps(value)}"
+        return
+    for name, child in value.items():
+        yield from _format_tree(child, f"{path}.{name}" if path else name)
--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -107,7 +107,7 @@
         return "refused deeper down"
     # Nobody knows whether it ran. A second attempt would have a second claim
     # refused at best, and pay a poet twice if that check were ever at fault.
-    if answer.outcome is Outcome.UNKNOWN and request.key:
+    if answer.outcome is Outcome.UNKNOWN and (request.key or not request.repeatable):
         return "non-idempotent work of unknown outcome"
     if answer.reason is Reason.LEVEL:
         return find_level_obstacle(request, tries, elsewhere)
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -1,10 +1,9 @@
 """Routing of one call: level, endpoint, attempt, and whether to try again."""
 
-import threading
 import time
 from typing import NamedTuple
 
-from . import decisions, messages, retries
+from . import claims, decisions, messages, placement, retries
 from .messages import Answer, Outcome, Reason, Request
 
 # Chains are up to 16 deep. A request that has passed twice as many services
@@ -85,13 +84,12 @@
         places: `Places`.
         find_service: Takes a name, returns its `resources.ServiceSpec`.
         match_call: Takes a spec, method and path, returns its `CallSpec`.
-        placement: `placement.Placement`, guarded.
+        placement_state: `placement.Placement`, guarded.
         levels: `levels.Levels`, guarded.
         ledger: `retries.Ledger`, guarded.
         running: `running.Running`.
         random: Function that returns a float from 0 to 1, for back-off.
         key_window: Seconds for which an idempotency key is good at most.
-        check_key: Takes a key and a window in seconds, returns a `Reason`.
         note: Takes an `Incoming`, its `Routed` and the seconds it took.
     """
 
@@ -101,37 +99,36 @@
         places,
         find_service,
         match_call,
-        placement,
+        placement_state,
         levels,
         ledger,
         running,
         random,
         key_window,
-        check_key,
         note,
     ):
         self._clock = clock
         self._places = places
         self._find_service = find_service
         self._match_call = match_call
-        self._placement = placement
+        self._placement = placement_state
         self._levels = levels
         self._ledger = ledger
         self._running = running
         self._random = random
         self._key_window = key_window
-        self._check_key = check_key
         self._note = note
-        self._in_flight = 0
-        self._lock = threading.Lock()
 
-    @property
-    def in_flight(self):
-        """Calls that have not been answered yet."""
-        return self._in_flight
+    def route_root(self, incoming, budget=None):
+        """Route a call from outside.
 
-    def route_root(self, incoming):
-        """Route a call from outside; returns a `Routed`."""
+        Args:
+            incoming: The `Incoming`.
+            budget: Retries that it may cause, None for what the service says.
+
+        Returns:
+            A `Routed`.
+        """
         spec = self._find_service(incoming.service)
         call = self._match_call(spec, incoming.method, incoming.path)
         now = self._clock()
@@ -144,9 +141,9 @@
             path=incoming.path,
             importance=_lower_importance(call.importance, incoming.importance),
             deadline=now + _limit_timeout(incoming.timeout, spec.timeout),
-            key="" if call.idempotent else incoming.key,
+            key="" if call.idempotent else claims.normalize_key(incoming.key),
             repeatable=call.repeatable,
-            budget=spec.retry_budget,
+            budget=spec.retry_budget if budget is None else budget,
             caller=incoming.caller,
             headers=incoming.headers,
             body=incoming.body,
@@ -171,7 +168,7 @@
             deadline=min(
                 holder.deadline, now + _limit_timeout(incoming.timeout, spec.timeout)
             ),
-            key="" if call.idempotent else incoming.key,
+            key="" if call.idempotent else claims.normalize_key(incoming.key),
             repeatable=call.repeatable,
             caller=holder.caller,
             via=(*holder.via, holder.service),
@@ -184,14 +181,8 @@
 
     def _route_counted(self, request, incoming, call, holder):
         started = self._clock()
-        with self._lock:
-            self._in_flight += 1
-        try:
-            answer = self._check_and_route(request, incoming, call, holder)
-        finally:
-            with self._lock:
-                self._in_flight -= 1
-            unused = self._close_root(request, holder)
+        answer = self._check_and_route(request, incoming, call, holder)
+        unused = self._close_root(request, holder)
         caused = max(0, request.budget - unused)
         routed = Routed(answer, request.root, caused, call.name, request.importance)
         self._note(incoming, routed, self._clock() - started)
@@ -205,22 +196,19 @@
             return ledger.close(holder)
 
     def _check_and_route(self, request, incoming, call, holder):
-        reason = self._check(request, incoming, call)
-        if reason is not Reason.NONE:
-            status = 400 if reason is Reason.BAD_REQUEST else 422
-            return _refuse(request, reason, status=status)
         if len(request.via) >= DEEPEST_PATH:
             return _refuse(request, Reason.BAD_REQUEST, status=508)
-        return self._try_endpoints(request, holder)
-
-    def _check(self, request, incoming, call):
-        """Return why the key of a non-idempotent call can't be taken."""
         if call.idempotent:
-            return Reason.NONE
-        if not incoming.key:
-            return Reason.BAD_REQUEST
+            return self._try_endpoints(request, holder)
         window = min(call.key_window, self._key_window)
-        return self._check_key(incoming.key, window)
+        reason = check_key(incoming.key, time.time(), window)
+        if reason is Reason.NONE:
+            return self._try_endpoints(request, holder)
+        if reason is Reason.BAD_REQUEST:
+            return _refuse(request, reason, status=400)
+        # The key was good once, and the work may have run then. Told "not
+        # run", the caller would make a new key and have it run again.
+        return _refuse(request, reason)._replace(outcome=Outcome.UNKNOWN)
 
     def _try_endpoints(self, request, holder):
         """Try until an answer stands; each try is an attempt of its own."""
@@ -253,9 +241,9 @@
         for endpoint in endpoints:
             is_own = endpoint.daemon == self._places.own
             if is_own and endpoint.daemon not in tried and self._places.has_room():
-                return Choice(endpoint, "own endpoint has room")
-        with self._placement as placement:
-            return placement.choose(request, endpoints, self._clock(), tried)
+                return placement.Choice(endpoint, "own endpoint has room")
+        with self._placement as state:
+            return state.choose(request, endpoints, self._clock(), tried)
 
     def _build_attempt(self, request, holder):
         """Return the request as an attempt with its part of the budget."""
@@ -280,12 +268,12 @@
             )
         )
         started = self._clock()
-        with self._placement as placement:
-            placement.start(endpoint.daemon, started)
+        with self._placement as state:
+            state.start(endpoint.daemon, started)
         answer = self._serve_or_call(attempt, endpoint)
         ended = self._clock()
-        with self._placement as placement:
-            placement.observe(endpoint.daemon, answer, ended - started, ended)
+        with self._placement as state:
+            state.observe(endpoint.daemon, answer, ended - started, ended)
         with self._levels as levels:
             levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
         return answer
@@ -342,11 +330,26 @@
         return _refuse(request, reason, retry_after)
 
 
-class Choice(NamedTuple):
-    """The endpoint chosen and why; as `placement.Choice`."""
+def check_key(key, wall, window):
+    """Return why the key of non-idempotent work can't be taken, or NONE.
 
-    endpoint: messages.Endpoint
-    ground: str
+    Args:
+        key: The key as the caller sent it.
+        wall: This instance's wall-clock time in seconds.
+        window: Seconds for which a key is good.
+
+    Returns:
+        BAD_REQUEST for what never was a good key, KEY_AGE for one too old.
+    """
+    normal = claims.normalize_key(key)
+    if not normal:
+        return Reason.BAD_REQUEST
+    made = claims.get_key_time(normal)
+    if made > wall + claims.AHEAD:
+        return Reason.BAD_REQUEST
+    if made < wall - window:
+        return Reason.KEY_AGE
+    return Reason.NONE
 
 
 def _refuse(request, reason, retry_after=0.0, status=503):
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -8,6 +8,8 @@
 
 ENVIRONMENT_PREFIX = "WHINWINCH_"
 HIGHEST_PORT = 65535
+# Windows of keys that fit into the time for which the log keeps records.
+WINDOWS_KEPT = 4
 
 
 class Address(NamedTuple):
@@ -60,6 +62,7 @@
     zone: str
     region: str
     log: str
+    log_retention: float
     stop_grace: float
     lease: float
     key_window: float
@@ -153,6 +156,12 @@
     Option("zone", parse_name, None, "Availability zone of this instance."),
     Option("region", parse_name, "main", "Region of this instance."),
     Option("log", parse_url, None, "URL of the platform's log service."),
+    Option(
+        "log-retention",
+        build_number_parser(float, 60, 1e9),
+        "86400",
+        "Seconds for which the log keeps records.",
+    ),
     Option(
         "stop-grace",
         build_number_parser(float, 0, 3600),
@@ -170,8 +179,8 @@
         "key-window",
         build_number_parser(float, 1, 86400),
         "900",
-        "Seconds for which an idempotency key is good; must be well under the "
-        "time for which the log keeps records.",
+        "Seconds for which an idempotency key is good; at most a quarter of "
+        "the time for which the log keeps records.",
     ),
     Option(
         "threads",
@@ -264,11 +273,24 @@
             values[option.field] = option.parse(text)
         except ValueError as error:
             findings.append(Finding(place, f"{error}, but is {text!r}"))
+    findings.extend(_check_window(values))
     findings.extend(_check_unknown(environment))
     raise_findings("wrong settings", findings)
     return Settings(**values)
 
 
+def _check_window(values):
+    """Find a key window that the log's records don't outlast by far.
+
+    A claim that retention has dropped while its key is still good would let
+    the work of that key run a second time.
+    """
+    window = values.get("key_window", 0.0)
+    retention = values.get("log_retention", window * WINDOWS_KEPT)
+    if window * WINDOWS_KEPT > retention:
+        yield Finding("key-window", f"must be at most log-retention / {WINDOWS_KEPT}")
+
+
 def _find_text(option, arguments, environment):
     """Return the place and the text of an option; a flag goes first."""
     flag = None if option.secret else getattr(arguments, option.field, None)
