--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -161,7 +161,7 @@
         if applied.ground is not configuration.Ground.GAP:
             kept.add(record)
             return True
-        if not store.install(record.data):
+        if not store.install_snapshot(record.data):
             return False
         kept.add(record)
         return True
