--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -80,12 +80,12 @@
         concurrent.futures.ThreadPoolExecutor(CONTROL_THREADS, "control")
     )
     operators = access.parse_operators(settings.operator_tokens)
-    digests = access.parse_peer_tokens(settings.peer_tokens)
+    access.check_peer_setting(settings.peer_token)
     parts = build_parts(settings, loop)
     gatekeeper = build_gatekeeper(parts)
     parts.control.connect(gatekeeper.install)
     talk = gossip.build_gossip(parts.members, parts.relay, build_send(parts))
-    peers = start_peer_server(parts, gatekeeper, talk, digests)
+    peers = start_peer_server(parts, gatekeeper, talk)
     http_server.start_engine(build_http_servers(parts, gatekeeper, operators))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, parts.control.begin_leaving)
@@ -146,7 +146,7 @@
         ledger=ledger,
         levels=Guarded(levels.Levels()),
         peers=peer_client.PeerClient(
-            loop.time, access.choose_peer_token(settings.peer_tokens)
+            loop.time, access.choose_peer_token(settings.peer_token)
         ),
         control=control.Control(loop, settings, own, members, log, flights, tick),
     )
@@ -205,7 +205,7 @@
     return send
 
 
-def start_peer_server(parts, gatekeeper, talk, digests):
+def start_peer_server(parts, gatekeeper, talk):
     """Start serving other daemons; return the server."""
 
     def serve_call(request):
@@ -221,7 +221,7 @@
         return future.result(GOSSIP_TIMEOUT)
 
     servicer = peer_server.PeerServicer(
-        serve_call, answer_gossip, parts.loop.time, digests
+        serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
     )
     return peer_server.start_server(servicer, parts.settings.peer_address)
 
--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -11,7 +11,6 @@
 import grpc
 
 from ..messages import Answer, Outcome, Reason
-from ..operators import access
 from . import codec, peer_pb2_grpc
 
 # Connecting within a region takes a few round trips; an address that takes
@@ -73,7 +72,7 @@
 
     def __init__(self, clock, token):
         self._clock = clock
-        self._metadata = ((access.PEER_METADATA, token),) if token else ()
+        self._metadata = (("authorization", f"Bearer {token}"),) if token else ()
         self._peers = {}
         self._lock = threading.Lock()
 
--- a/whinwinch/daemons/server.py
+++ b/whinwinch/daemons/server.py
@@ -27,14 +27,14 @@
         serve: Takes a `Request`, returns its `Answer`.
         answer_gossip: Takes a `GossipMessage`, returns a `GossipAnswer`.
         clock: Returns the loop's time in seconds.
-        digests: Of the tokens taken, from `access.parse_peer_tokens`.
+        tokens: The setting with the tokens that are taken; "" takes everyone.
     """
 
-    def __init__(self, serve, answer_gossip, clock, digests):
+    def __init__(self, serve, answer_gossip, clock, tokens):
         self._serve = serve
         self._answer_gossip = answer_gossip
         self._clock = clock
-        self._digests = digests
+        self._tokens = tokens
 
     def Call(self, request, context):
         """Serve one attempt."""
@@ -52,11 +52,11 @@
 
     def _check_token(self, context):
         """End the call with PERMISSION_DENIED unless the token is right."""
-        if not self._digests:
+        if not self._tokens:
             return
         metadata = {item.key: item.value for item in context.invocation_metadata()}
-        token = metadata.get(access.PEER_METADATA, "")
-        if not access.check_peer_token(self._digests, token):
+        header = metadata.get("authorization", "")
+        if not access.check_peer_token(header, self._tokens):
             context.abort(grpc.StatusCode.PERMISSION_DENIED, "wrong peer token")
 
 
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -72,7 +72,7 @@
     gossip_interval: float
     verbosity: str
     operator_tokens: str
-    peer_tokens: str
+    peer_token: str
 
 
 def parse_address(text):
@@ -216,7 +216,7 @@
         secret=True,
     ),
     Option(
-        "peer-tokens",
+        "peer-token",
         str,
         "",
         "Comma-separated tokens that the daemons of one mesh show each other, "
