--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -387,7 +387,6 @@
         api.Parts(
             store=parts.store,
             operators=operators,
-            make_change=configuration.Change,
             find_status=lambda: describe_status(parts, gatekeeper),
             render_metrics=parts.metrics.render_metrics,
             max_key_window=parts.settings.key_window,
