--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -123,9 +123,11 @@
     (log_port,) = processes.find_ports(1)
     log_arguments = ("--address", f"{HOST}:{log_port}", *log_options)
     log = running.start("log", "standins.log", log_arguments)
+    token = secrets.token_hex()
     env = {
         **os.environ,
-        "WHINWINCH_OPERATOR_TOKEN": secrets.token_hex(),
+        "WHINWINCH_OPERATOR_TOKENS": f"demo:{token}",
+        "WHINWINCH_OPERATOR_TOKEN": token,
         "WHINWINCH_PEER_TOKEN": secrets.token_hex(),
     }
     daemons = tuple(start_daemon(running, node, log_port, env) for node in nodes)
@@ -198,34 +200,44 @@
     running.wait_until("daemons ready", are_ready, START_TIMEOUT)
 
 
-def wait_until_in_force(running, mesh):
-    """Wait until every daemon can reach every service and knows the resources.
-
-    A payout without a key is refused by 400 once the resources are in force.
-    Before that it would run, under no key, which no caller was promised
-    anything about.
-    """
+def wait_until_reached(running, mesh):
+    """Wait until every daemon can reach every service."""
     probe = processes.build_probe()
     names = {node.service.name for node in mesh.nodes}
     waiting = {(node, name) for node in mesh.nodes for name in names}
-    unaware = set(mesh.nodes)
 
     def is_reached(node, name):
         url = f"{node.entry_url}/services/{name}/probe?work=0"
         answer = probe(url, headers=PROBE_HEADERS)
         return answer is not None and answer.status == 200
 
+    def are_reached():
+        waiting.difference_update([pair for pair in waiting if is_reached(*pair)])
+        return not waiting
+
+    running.wait_until("all services reached", are_reached, START_TIMEOUT)
+
+
+def wait_until_in_force(running, mesh):
+    """Wait until every daemon knows the resources.
+
+    A payout without a key is refused by 400 once the resources are in force.
+    Before that it would run, under no key, which no caller was promised
+    anything about.
+    """
+    probe = processes.build_probe()
+    waiting = set(mesh.nodes)
+
     def is_aware(node):
         url = f"{node.entry_url}/services/royalties/payouts?work=0"
         answer = probe(url, "POST", PROBE_HEADERS)
         return answer is not None and answer.status == 400
 
-    def are_in_force():
-        waiting.difference_update([pair for pair in waiting if is_reached(*pair)])
-        unaware.difference_update([node for node in unaware if is_aware(node)])
-        return not waiting and not unaware
+    def are_aware():
+        waiting.difference_update([node for node in waiting if is_aware(node)])
+        return not waiting
 
-    running.wait_until("resources in force", are_in_force, START_TIMEOUT)
+    running.wait_until("resources in force", are_aware, START_TIMEOUT)
 
 
 def stop_mesh(running, mesh):
--- a/demo/run.py
+++ b/demo/run.py
@@ -79,6 +79,7 @@
     press = mesh.start_mesh(running, nodes)
     mesh.wait_until_ready(running, press)
     mesh.apply_resources(running, press)
+    mesh.wait_until_reached(running, press)
     mesh.wait_until_in_force(running, press)
     say(f"{len(nodes)} endpoints ready after {time.monotonic() - began:.1f} s")
     say("", "the same chain of three services, one at a time, no service time:")
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,8 +16,8 @@
   so that the same chain can be measured without daemons.
 
 Outgoing calls carry ``X-Request-Id`` and nothing else. A run is counted by
-``Idempotency-Key`` and by request identifier once it holds a slot, whatever
-becomes of its answer; ``GET /ran`` lists both counts.
+``Idempotency-Key`` and by marker (without one by ``X-Request-Id``) once it holds
+a slot, whatever becomes of its answer; ``GET /ran`` lists both counts.
 
 Besides: ``GET /load``, ``GET /health``, ``GET /stats``, ``POST /faults`` (see
 `work.Faults`). On SIGTERM it withdraws its announcement, finishes what it has
@@ -244,7 +244,10 @@
 
     def run(environ, query):
         request = environ.get("HTTP_X_REQUEST_ID", "")
-        load.count_run(request, environ.get("HTTP_IDEMPOTENCY_KEY", ""))
+        # A daemon gives each attempt an identifier of its own; the marker is
+        # the one that the caller knows, at every hop.
+        marker = query.get("marker") or request
+        load.count_run(marker, environ.get("HTTP_IDEMPOTENCY_KEY", ""))
         factor = float(query.get("work", 1)) * load.faults["slow"]
         time.sleep(find_service_time(factor))
         path = environ["PATH_INFO"]
