--- a/demo/run.py
+++ b/demo/run.py
@@ -41,7 +41,7 @@
 
 
 class Interrupted(Exception):
-    """SIGTERM came."""
+    """SIGINT or SIGTERM came."""
 
 
 def main(arguments=None):
@@ -50,7 +50,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--output", help="directory for the processes' output")
     options = parser.parse_args(arguments)
-    signal.signal(signal.SIGTERM, raise_interrupted)
+    # Also SIGINT: a shell starts background jobs with it ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, raise_interrupted)
     with contextlib.ExitStack() as stack:
         directory = options.output or stack.enter_context(
             tempfile.TemporaryDirectory(prefix="whinwinch-demo-")
@@ -62,13 +64,13 @@
         except processes.NotReady as error:
             print(f"error: {error}", file=sys.stderr)
             return FAILED
-        except (KeyboardInterrupt, Interrupted):
+        except Interrupted:
             print("interrupted; everything was stopped", file=sys.stderr)
             return FAILED
 
 
 def raise_interrupted(*_):
-    """Turn SIGTERM into an exception, so that the processes get stopped."""
+    """Turn a signal into an exception, so that the processes get stopped."""
     raise Interrupted
 
 
