Take no calls before the configuration has been read; a key marks a request

Ruled out: treating every POST as keyed, which would refuse callers that do nothing wrong. Now it refuses as not run until it is ready, and a request that carries a key is claimed whatever the resources say.

--- a/whinwinch/callers/answers.py
+++ b/whinwinch/callers/answers.py
@@ -19,6 +19,8 @@
     Reason.SHARE: "this caller or key has more than its share",
     Reason.DEADLINE: "the time that the caller allows is not enough",
     Reason.LEAVING: "this instance is leaving",
+    Reason.NOT_READY: "this daemon has not read the configuration yet, so it can't "
+    "tell which calls must not be repeated",
     Reason.NO_ENDPOINT: "no endpoint of this service is known",
     Reason.NOT_SENT: "the endpoint could not be reached",
     Reason.BROKEN: "the connection broke before the whole answer had come",
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import math
 import random
 import signal
 from typing import NamedTuple
@@ -128,9 +129,13 @@
     flights = flight.FlightCounter()
     ledger = Guarded(retries.Ledger())
 
+    config = build_relay(store)
+
     def tick(now):
         with ledger as state:
             state.expire(now)
+        if not store.ready and config.find_age(now) < math.inf:
+            store.mark_ready()
 
     return Parts(
         settings=settings,
@@ -139,7 +144,7 @@
         log=log,
         members=members,
         store=store,
-        relay=build_relay(store),
+        relay=config,
         flights=flights,
         metrics=metrics.Metrics(),
         running=running.Running(),
@@ -303,8 +308,9 @@
 
     def route_root(incoming):
         now = parts.loop.time()
-        if not parts.control.admits(Way.ENTRY):
-            return refuse_leaving(incoming)
+        reason = find_obstacle(parts)
+        if reason is not None:
+            return refuse_entry(incoming, reason)
         parts.flights.start(Way.ENTRY, now, now + (incoming.timeout or 0.0))
         try:
             return route.route_root(incoming)
@@ -321,6 +327,8 @@
         now = parts.loop.time()
         parts.flights.start(Way.OUTWARD, now, now + (incoming.timeout or 0.0))
         try:
+            if not parts.store.ready:
+                return refuse_entry(incoming, Reason.NOT_READY)
             holder = parts.running.find(incoming.identifier)
             if holder is not None:
                 return route.route_nested(incoming, holder)
@@ -333,13 +341,25 @@
     return route_outgoing
 
 
-def refuse_leaving(incoming):
-    """Return the refusal of a call to a daemon that leaves."""
+def find_obstacle(parts):
+    """Return why no call is taken from outside at the moment, or None.
+
+    A daemon that has not read the configuration doesn't know which calls must
+    not be repeated. Were it to serve them all the same, a payout sent again
+    through it would not be claimed, and be paid twice.
+    """
+    if not parts.control.admits(Way.ENTRY):
+        return Reason.LEAVING
+    return None if parts.store.ready else Reason.NOT_READY
+
+
+def refuse_entry(incoming, reason):
+    """Return the refusal of a call from outside."""
     attempt = messages.new_identifier()
     answer = Answer(
         attempt,
         Outcome.NOT_RUN,
-        Reason.LEAVING,
+        reason,
         status=503,
         retry_after=SECONDS_TO_COME_BACK,
     )
@@ -350,7 +370,7 @@
             incoming.service,
             "",
             "",
-            Reason.LEAVING.value,
+            reason.value,
             SECONDS_TO_COME_BACK,
             "entry",
         )
@@ -420,7 +440,7 @@
 def find_age(parts):
     """Return the seconds since the configuration was known newest, -1 for never."""
     age = parts.relay.find_age(parts.loop.time())
-    return age if age < float("inf") else -1.0
+    return age if age < math.inf else -1.0
 
 
 async def run_tasks(parts, gatekeeper, talk):
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -42,7 +42,7 @@
     outcome: str
     reason: str
     status: int
-    seconds: float
+    time_left: float
     again: bool
     ground: str
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -35,6 +35,7 @@
     SHARE = "caller-share"
     DEADLINE = "deadline"
     LEAVING = "leaving"
+    NOT_READY = "not-ready"
     NO_ENDPOINT = "no-endpoint"
     NOT_SENT = "not-sent"
     BROKEN = "connection-broken"
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -141,7 +141,7 @@
             path=incoming.path,
             importance=_lower_importance(call.importance, incoming.importance),
             deadline=now + _limit_timeout(incoming.timeout, spec.timeout),
-            key="" if call.idempotent else claims.normalize_key(incoming.key),
+            key=claims.normalize_key(incoming.key),
             repeatable=call.repeatable,
             budget=spec.retry_budget if budget is None else budget,
             caller=incoming.caller,
@@ -168,7 +168,7 @@
             deadline=min(
                 holder.deadline, now + _limit_timeout(incoming.timeout, spec.timeout)
             ),
-            key="" if call.idempotent else claims.normalize_key(incoming.key),
+            key=claims.normalize_key(incoming.key),
             repeatable=call.repeatable,
             caller=holder.caller,
             via=(*holder.via, holder.service),
@@ -198,7 +198,8 @@
     def _check_and_route(self, request, incoming, call, holder):
         if len(request.via) >= DEEPEST_PATH:
             return _refuse(request, Reason.BAD_REQUEST, status=508)
-        if call.idempotent:
+        # A key marks a request as non-idempotent, whatever is declared.
+        if call.idempotent and not incoming.key:
             return self._try_endpoints(request, holder)
         window = min(call.key_window, self._key_window)
         reason = check_key(incoming.key, time.time(), window)
