--- a/test/operators/test_api.py
+++ b/test/operators/test_api.py
@@ -30,8 +30,14 @@
     def setUp(self):
         self.log = fakes.Log()
         self.store = make_store(self.log)
+        self.url = self.start_daemon(self.store)
+        self.pool = urllib3.PoolManager(retries=False, timeout=30)
+        self.addCleanup(self.pool.clear)
+
+    def start_daemon(self, store):
+        """Serve the API for a store; return its URL."""
         parts = api.Parts(
-            self.store,
+            store,
             access.parse_operators(self.operators),
             find_status=lambda: {"daemon": "d1"},
             max_key_window=900,
@@ -39,22 +45,17 @@
             propose_timeout=0,
         )
         application = api.create_application(parts)
-        self.server = wsgi.Server(
+        server = wsgi.Server(
             ("127.0.0.1", 0), wsgi.PathInfoDispatcher({"/admin": application})
         )
-        self.server.shutdown_timeout = 1
-        self.server.prepare()
-        self.addCleanup(self.stop)
-        self.serving = threading.Thread(target=self.server.serve)
-        self.serving.start()
-        self.url = f"http://127.0.0.1:{self.server.bind_addr[1]}/admin/v1"
-        self.pool = urllib3.PoolManager(retries=False, timeout=30)
-
-    def stop(self):
-        self.store.close()
-        self.pool.clear()
-        self.server.stop()
-        self.serving.join(30)
+        server.shutdown_timeout = 1
+        server.prepare()
+        serving = threading.Thread(target=server.serve)
+        serving.start()
+        self.addCleanup(serving.join, 30)
+        self.addCleanup(server.stop)
+        self.addCleanup(store.close)
+        return f"http://127.0.0.1:{server.bind_addr[1]}/admin/v1"
 
     def ask(self, method, path, document=None, token=TOKEN, **headers):
         named = {name.replace("_", "-"): value for name, value in headers.items()}
--- a/whinwinch/operators/api.py
+++ b/whinwinch/operators/api.py
@@ -11,15 +11,14 @@
 import time as clocks
 import uuid
 from collections.abc import Callable
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Any, NamedTuple
 
 import cherrypy
 from absl import logging
 
 from .. import configuration, errors, resources
-from . import access, store, watch
+from . import access, forms, store, watch
 
-MOUNT = "/admin"
 JSON_TYPE = "application/json"
 LINES_TYPE = "application/x-ndjson"
 
@@ -27,60 +26,11 @@
 # for longer than a person waits.
 PROPOSE_TIMEOUT = 5.0
 RETRY_AFTER = 5
+MAX_KEY = 128
 MAX_HISTORY_LIMIT = 1000
 DEFAULT_HISTORY_LIMIT = 100
 
 
-class FindingForm(TypedDict):
-    """JSON form of a finding."""
-
-    place: str
-    problem: str
-
-
-class ErrorForm(TypedDict):
-    """JSON form of an error."""
-
-    code: str
-    message: str
-    findings: list[FindingForm]
-    present_version: NotRequired[int]
-    may_have_taken_effect: NotRequired[bool]
-    change_id: NotRequired[str]
-
-
-class ServiceAnswer(TypedDict):
-    """JSON form of an accepted resource."""
-
-    kind: str
-    name: str
-    version: int
-    author: str
-    changed: float
-    spec: dict
-
-
-class ServiceList(TypedDict):
-    """JSON form of all services with the version of the collection."""
-
-    version: int
-    services: list[ServiceAnswer]
-
-
-class DeleteAnswer(TypedDict):
-    """JSON form of the answer to a deletion."""
-
-    name: str
-    version: int
-
-
-class HistoryAnswer(TypedDict):
-    """JSON form of the history, the newest entry first."""
-
-    version: int
-    changes: list[dict]
-
-
 class Parts(NamedTuple):
     """What the API works with.
 
@@ -118,7 +68,7 @@
         message: What is wrong, for people.
         findings: Iterable of `errors.Finding`.
         retry_after: Seconds for ``Retry-After``, 0 for none.
-        **details: Further fields of `ErrorForm`.
+        **details: Further fields of `forms.ErrorForm`.
     """
 
     def __init__(
@@ -127,16 +77,18 @@
         super().__init__(message)
         self.status = status
         self.retry_after = retry_after
-        self.form: ErrorForm = {
+        self.form: forms.ErrorForm = {
             "code": code,
             "message": message,
-            "findings": [FindingForm(**finding._asdict()) for finding in findings],
+            "findings": [
+                forms.FindingForm(**finding._asdict()) for finding in findings
+            ],
             **details,
         }
 
 
 def create_application(parts):
-    """Return the resource API, to be mounted at `MOUNT`.
+    """Return the resource API, to be mounted at `forms.MOUNT`.
 
     Args:
         parts: `Parts`.
@@ -152,7 +104,7 @@
             "request.show_tracebacks": False,
         }
     }
-    application = cherrypy.Application(_Root(parts), MOUNT, config)
+    application = cherrypy.Application(_Root(parts), forms.MOUNT, config)
     # Changes have a log line of their own, with author and decision.
     application.log.access_log.propagate = False
     return application
@@ -200,6 +152,10 @@
         present = self._find(name)
         condition = _read_condition(present)
         verdict = self._propose(name, body, condition, present)
+        if verdict.resource is None:
+            # A repeated request: the change was accepted before, and somebody
+            # has changed the resource since.
+            return _encode(forms.ChangeAnswer(name=name, version=verdict.version))
         return _answer_service(verdict.resource, 200 if condition else 201)
 
     def DELETE(self, name, **query):
@@ -208,10 +164,13 @@
         _check_query(query, ())
         present = self._find(name)
         condition = _read_condition(present)
-        if not condition:
+        if (
+            not condition
+            and forms.REPEAT_HEADER not in cherrypy.serving.request.headers
+        ):
             raise _not_found(name)
         verdict = self._propose(name, None, condition, present)
-        return _encode(DeleteAnswer(name=name, version=verdict.version))
+        return _encode(forms.ChangeAnswer(name=name, version=verdict.version))
 
     def _find(self, name):
         return self._store.snapshot().find_resource(resources.KIND_SERVICE, name)
@@ -227,10 +186,12 @@
         found = view.list_resources(resources.KIND_SERVICE)
         cherrypy.serving.response.headers["ETag"] = f'"{view.version}"'
         services = [_format_service(resource) for resource in found]
-        return _encode(ServiceList(version=view.version, services=services))
+        return _encode(forms.ServiceList(version=view.version, services=services))
 
     def _answer_watch(self, query):
         wanted = _parse_watch(query, self._store)
+        if self._store.closed:
+            raise ApiError(503, "stopping", "this daemon stops", retry_after=1)
         try:
             self._store.wait_changes(wanted.version, 0)
         except store.VersionTooOld as error:
@@ -250,18 +211,21 @@
 
     def _propose(self, name, body, replaces, present):
         """Propose a change; return the verdict of one that was accepted."""
-        if present is not None and 0 < replaces < present.version:
-            raise _conflict(name, present)
+        author = cherrypy.serving.request.login
         change = configuration.Change(
-            change_id=uuid.uuid4().hex,
+            change_id=_choose_change_id(author, name, body),
             kind=resources.KIND_SERVICE,
             name=name,
             replaces=replaces,
             body=body,
-            author=cherrypy.serving.request.login,
+            author=author,
             made=self._parts.write_time(),
         )
-        verdict = self._store.propose(change, self._parts.propose_timeout)
+        verdict = self._store.find_verdict(change)
+        if verdict is None and present is not None and 0 < replaces < present.version:
+            raise _conflict(name, present)
+        if verdict is None:
+            verdict = self._store.propose(change, self._parts.propose_timeout)
         logging.info(
             "change=%s service=%s author=%s replaces=%d decision=%s version=%d",
             change.change_id,
@@ -299,7 +263,7 @@
             and query.get("change_id", entry.change_id) == entry.change_id
         ]
         version = self._store.version
-        return _encode(HistoryAnswer(version=version, changes=found[:limit]))
+        return _encode(forms.HistoryAnswer(version=version, changes=found[:limit]))
 
 
 class _Status:
@@ -404,7 +368,7 @@
 
 
 def _format_service(resource):
-    return ServiceAnswer(
+    return forms.ServiceAnswer(
         kind=resource.kind,
         name=resource.name,
         version=resource.version,
@@ -494,6 +458,22 @@
     return watch.Watch(version, timeout)
 
 
+def _choose_change_id(author, name, body):
+    """Return the identifier of a change, the same for a repeated request.
+
+    It depends on the content too. A tool that used one key for two changes
+    would otherwise be told that the second was accepted, which nobody made.
+    """
+    key = cherrypy.serving.request.headers.get(forms.REPEAT_HEADER)
+    if key is None:
+        return uuid.uuid4().hex
+    if not 0 < len(key) <= MAX_KEY:
+        problem = f"has to have 1 to {MAX_KEY} letters"
+        raise _bad_request([errors.Finding(forms.REPEAT_HEADER, problem)])
+    content = json.dumps([key, author, name, body], sort_keys=True)
+    return uuid.uuid5(uuid.NAMESPACE_OID, content).hex
+
+
 def _read_condition(present):
     """Return the version that the request says it replaces, 0 for none."""
     headers = cherrypy.serving.request.headers
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -73,7 +73,7 @@
             accepted.
         reason: Why, when it was not accepted.
         resource: The accepted `configuration.Resource` as the change made it,
-            None after a deletion. Somebody else may have changed it since.
+            None after a deletion or when it has been changed since.
     """
 
     decision: Decision
@@ -272,6 +272,14 @@
             with self._news:
                 del self._pending[change.change_id]
 
+    def find_verdict(self, change):
+        """Return the `Verdict` of a change that has been read before, or None."""
+        with self._news:
+            decision = self._configuration.find_decision(change.change_id)
+            if decision is None:
+                return None
+            return self._make_verdict(change, decision)
+
     def wait_changes(self, version, timeout):
         """Wait until there are accepted changes after a version.
 
--- a/whinwinch/operators/watch.py
+++ b/whinwinch/operators/watch.py
@@ -3,41 +3,16 @@
 import json
 import threading
 from collections.abc import Callable
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import NamedTuple
 
+from . import forms
 from .store import VersionTooOld
 
-# Seconds between the lines that are sent when nothing changes. Without them a
-# client whose connection broke silently would wait for changes that can't come,
-# and its place would stay taken here, because only a failed write shows it.
-HEARTBEAT = 5.0
 DEFAULT_TIMEOUT = 60.0
 MAX_TIMEOUT = 3600.0
 # Each watch holds a thread of the HTTP server all the time.
 DEFAULT_MAX_WATCHERS = 8
 
-TYPE_CHANGED = "changed"
-TYPE_DELETED = "deleted"
-TYPE_CURRENT = "current"
-TYPE_TOO_OLD = "too-old"
-
-
-class WatchLine(TypedDict):
-    """JSON form of one line of a watch.
-
-    A line of type ``current`` says that nothing changed up to its version, one
-    of type ``too-old`` that the watch can't go on and the list is needed.
-    """
-
-    type: str
-    version: int
-    kind: NotRequired[str]
-    name: NotRequired[str]
-    spec: NotRequired[dict]
-    change_id: NotRequired[str]
-    author: NotRequired[str]
-    changed: NotRequired[float]
-
 
 class Watch(NamedTuple):
     """What a watcher asked for.
@@ -84,24 +59,26 @@
     """
     end = clock() + watch.timeout
     version = watch.version
-    yield encode_line(WatchLine(type=TYPE_CURRENT, version=version))
+    yield encode_line(forms.WatchLine(type=forms.TYPE_CURRENT, version=version))
     while not store.closed and (left := end - clock()) > 0:
         try:
-            events = store.wait_changes(version, min(left, HEARTBEAT))
+            events = store.wait_changes(version, min(left, forms.HEARTBEAT))
         except VersionTooOld as error:
-            yield encode_line(WatchLine(type=TYPE_TOO_OLD, version=error.oldest))
+            yield encode_line(
+                forms.WatchLine(type=forms.TYPE_TOO_OLD, version=error.oldest)
+            )
             return
         for event in events:
             yield encode_line(format_event(event))
             version = event.version
         if not events:
-            yield encode_line(WatchLine(type=TYPE_CURRENT, version=version))
+            yield encode_line(forms.WatchLine(type=forms.TYPE_CURRENT, version=version))
 
 
 def format_event(event):
     """Return the line of a `configuration.Event`."""
-    line = WatchLine(
-        type=TYPE_DELETED if event.resource is None else TYPE_CHANGED,
+    line = forms.WatchLine(
+        type=forms.TYPE_DELETED if event.resource is None else forms.TYPE_CHANGED,
         version=event.version,
         kind=event.kind,
         name=event.name,
