--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -67,7 +67,7 @@
 
     Args:
         clock: Returns the loop's time in seconds.
-        token: Shared by the daemons of one mesh; "" for none.
+        token: Shown to the other daemons; "" for none.
     """
 
     def __init__(self, clock, token):
