Drain a daemon through its API; keep the store's arguments

A drain goes to one daemon only: with a second address a client would have drained a healthy one when the first didn't answer.

--- a/test/operators/test_api.py
+++ b/test/operators/test_api.py
@@ -29,6 +29,7 @@
 
     def setUp(self):
         self.log = fakes.Log()
+        self.drained = []
         self.store = make_store(self.log)
         self.url = self.start_daemon(self.store)
         self.pool = urllib3.PoolManager(retries=False, timeout=30)
@@ -40,6 +41,7 @@
             store,
             access.parse_operators(self.operators),
             find_status=lambda: {"daemon": "d1"},
+            begin_drain=lambda: self.drained.append(store),
             max_key_window=900,
             max_watchers=1,
             propose_timeout=0,
@@ -164,6 +166,11 @@
     def test_status(self):
         self.assertEqual(self.ask("GET", "/status").json(), {"daemon": "d1"})
 
+    def test_drain(self):
+        self.assertError(self.ask("GET", "/drain"), 405, "http")
+        self.assertEqual(self.ask("POST", "/drain").status, 202)
+        self.assertEqual(self.drained, [self.store])
+
 
 class AccessTest(ApiCase):
     def test_every_path_needs_a_token(self):
@@ -172,6 +179,8 @@
             self.assertError(answer, 401, "unauthorized")
             self.assertEqual(answer.headers["WWW-Authenticate"], "Bearer")
         self.assertError(self.put(token="x" * 20), 401, "unauthorized")
+        self.assertError(self.ask("POST", "/drain", token=None), 401, "unauthorized")
+        self.assertEqual(self.drained, [])
         self.assertEqual(self.log.records, [])
 
 
--- a/test/operators/test_client.py
+++ b/test/operators/test_client.py
@@ -58,6 +58,17 @@
         self.assertTrue(subject.apply_service(DOCUMENT))
         self.assertEqual(len(subject.list_services().services), 1)
 
+    def test_drain_goes_to_one_daemon_only(self):
+        """The daemon to be drained does not answer.
+
+        Were the next one asked, a healthy backend server would leave.
+        """
+        with self.assertRaises(client.Unreachable):
+            self.make_client(DEAD, self.url).drain()
+        self.assertEqual(self.drained, [])
+        self.assertEqual(self.client.drain(), {"daemon": "d1"})
+        self.assertEqual(self.drained, [self.store])
+
     def test_log_down(self):
         """The log is down, or its answer is lost, while a change is applied."""
         self.log.fault = fakes.LogDown(False)
--- a/whinwinch/operators/api.py
+++ b/whinwinch/operators/api.py
@@ -38,6 +38,8 @@
         store: The `store.Store`.
         operators: Tuple of `access.Operator`; empty closes the API.
         find_status: Returns the JSON form of the daemon's status.
+        begin_drain: Lets the daemon and its backend server begin to leave;
+            called from a request's thread, returns at once.
         render_metrics: Returns the metrics as text.
         max_key_window: Longest window for keys in seconds.
         max_watchers: Most watches at once.
@@ -49,6 +51,7 @@
     store: store.Store
     operators: tuple[access.Operator, ...]
     find_status: Callable[[], Any] = dict
+    begin_drain: Callable[[], Any] | None = None
     render_metrics: Callable[[], str] = str
     max_key_window: float = resources.MAX_KEY_WINDOW
     max_watchers: int = watch.DEFAULT_MAX_WATCHERS
@@ -121,6 +124,7 @@
         self.history = _History(parts)
         self.status = _Status(parts)
         self.metrics = _Metrics(parts)
+        self.drain = _Drain(parts)
 
 
 class _Services:
@@ -280,6 +284,25 @@
         return _encode(self._find_status())
 
 
+class _Drain:
+    """``/admin/v1/drain``: lets the daemon and its backend server leave."""
+
+    exposed = True
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    def POST(self, **query):
+        """Begin to leave and return the status; asking twice does no harm."""
+        _check_query(query, ())
+        if self._parts.begin_drain is None:
+            raise ApiError(501, "no-drain", "this daemon can't be drained from here")
+        logging.info("drain author=%s", cherrypy.serving.request.login)
+        self._parts.begin_drain()
+        cherrypy.serving.response.status = 202
+        return _encode(self._parts.find_status())
+
+
 class _Metrics:
     """``/admin/v1/metrics``."""
 
--- a/whinwinch/operators/client.py
+++ b/whinwinch/operators/client.py
@@ -215,6 +215,23 @@
         """Return the JSON form of a daemon's status."""
         return self._read("/status")
 
+    def drain(self):
+        """Let the first daemon and its backend server begin to leave.
+
+        No other daemon is asked when it doesn't answer: that one would leave in
+        its place.
+
+        Returns:
+            The JSON form of its status.
+        """
+        try:
+            return _check_reply(self._ask("POST", "/drain")).document
+        except _NoAnswer as error:
+            if error.sent:
+                advice = "it may be leaving: look at its status"
+                raise Undecided(f"{error}; {advice}") from error
+            raise Unreachable(str(error)) from error
+
     def read_history(self, limit=100):
         """Return the JSON forms of the last changes, the newest first."""
         return self._read(f"/history?limit={limit}")["changes"]
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -144,15 +144,22 @@
             the log and returns the offset. It raises an exception with an
             attribute ``written``: False when the record is surely not in the
             log. Every other exception counts as not known.
+        encode: Function that turns a `configuration.Change` into bytes.
         stream: Name of the log's stream of configuration.
         clock: The clock that `propose` measures its timeout with, in seconds.
     """
 
     def __init__(
-        self, accepted, append, stream=streams.CONFIGURATION, clock=clocks.monotonic
+        self,
+        accepted,
+        append,
+        encode=configuration.encode_change,
+        stream=streams.CONFIGURATION,
+        clock=clocks.monotonic,
     ):
         self._configuration = accepted
         self._append = append
+        self._encode = encode
         self._stream = stream
         self._clock = clock
         self._news = threading.Condition()
@@ -309,7 +316,7 @@
     def _append_change(self, change, timeout):
         """Append and return what is known before the change has been read."""
         try:
-            self._append(self._stream, configuration.encode_change(change), timeout)
+            self._append(self._stream, self._encode(change), timeout)
         except Exception as error:
             logging.warning("change=%s append failed: %s", change.change_id, error)
             if getattr(error, "written", None) is False:
