--- /dev/null
+++ b/test/backends/test_gatekeeper.py
@@ -0,0 +1,235 @@
+"""Tests for the gatekeeper, with a backend server that is a function."""
+
+import threading
+import unittest
+import unittest.mock
+
+from whinwinch import claims, messages, retries, running
+from whinwinch.backends import gatekeeper
+from whinwinch.backends.registry import Announcement
+from whinwinch.claims import ClaimVerdict, Verdict
+from whinwinch.guarded import Guarded
+from whinwinch.messages import Answer, Importance, Outcome, Reason
+
+KEY = claims.make_key(1_700_000_000.0, 7)
+GENEROUS = 30.0
+
+
+def build_request(attempt="a1", **fields):
+    values = {
+        "attempt": attempt,
+        "root": "root-" + attempt,
+        "service": "royalties",
+        "call": "payout",
+        "method": "POST",
+        "path": "/payouts",
+        "importance": Importance.CRITICAL,
+        "deadline": 10.0,
+        "budget": 3,
+    }
+    return messages.Request(**(values | fields))
+
+
+class FakeClient:
+    """A backend server that answers by a function."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.ran = []
+
+    def forward(self, request, left):
+        self.ran.append(request.attempt)
+        return self.answer(request)
+
+
+def complete(request):
+    return Answer(request.attempt, Outcome.COMPLETED, body=b"whole")
+
+
+class GatekeeperTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.verdict = ClaimVerdict(Verdict.WON)
+        self.ended = []
+        self.takes_work = True
+        self.running = running.Running()
+        self.ledger = Guarded(retries.Ledger())
+        self.client = FakeClient(complete)
+        patch = unittest.mock.patch.object(
+            gatekeeper, "BackendClient", lambda *arguments: self.client
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.gatekeeper = gatekeeper.Gatekeeper(
+            clock=lambda: self.now,
+            claim=self.claim,
+            note_end=lambda request, answer: self.ended.append(answer.outcome),
+            ledger=self.ledger,
+            running=self.running,
+            takes_work=lambda: self.takes_work,
+            max_body=1000,
+        )
+        self.install(slots=4)
+
+    def install(self, slots):
+        self.gatekeeper.install(
+            Announcement("royalties", "127.0.0.1:1", slots, connections=10)
+        )
+
+    def claim(self, request):
+        return self.verdict
+
+    def test_a_whole_answer_returns_the_unused_budget(self):
+        answer = self.gatekeeper.serve(build_request())
+        self.assertEqual(Outcome.COMPLETED, answer.outcome)
+        self.assertEqual(3, answer.unused)
+        self.assertEqual(0, self.gatekeeper.load().in_service)
+
+    def test_work_claimed_by_another_attempt_is_not_run(self):
+        """A caller asks again while its first attempt is still running.
+
+        Run here as well, the payout would reach the poet twice.
+        """
+        self.verdict = ClaimVerdict(Verdict.LOST, winner="a0")
+        answer = self.gatekeeper.serve(build_request(key=KEY))
+        self.assertEqual(Outcome.UNKNOWN, answer.outcome)
+        self.assertEqual(Reason.KEY_CLAIMED, answer.reason)
+        self.assertFalse(self.client.ran)
+
+    def test_keyed_work_is_refused_while_the_log_is_down(self):
+        """The platform's log has an outage; unclaimed work must not run."""
+        self.verdict = ClaimVerdict(Verdict.LOG_DOWN, retry_after=2.0)
+        answer = self.gatekeeper.serve(build_request(key=KEY))
+        self.assertEqual(Outcome.NOT_RUN, answer.outcome)
+        self.assertEqual(Reason.LOG_DOWN, answer.reason)
+        self.assertGreater(answer.retry_after, 0.0)
+        self.assertFalse(self.client.ran)
+
+    def test_reads_go_on_while_the_log_is_down(self):
+        self.verdict = ClaimVerdict(Verdict.LOG_DOWN)
+        answer = self.gatekeeper.serve(build_request())
+        self.assertEqual(Outcome.COMPLETED, answer.outcome)
+
+    def test_a_winner_that_was_paused_past_its_deadline_does_not_run(self):
+        """The instance is frozen after the log has decided, and resumed later.
+
+        The caller was told "unknown" and may have given up; the claim is
+        released, so that asking again with the same key can run the work.
+        """
+
+        def claim_and_pause(request):
+            self.now = 11.0
+            return ClaimVerdict(Verdict.WON)
+
+        self.claim = claim_and_pause
+        self.gatekeeper._claim = claim_and_pause
+        answer = self.gatekeeper.serve(build_request(key=KEY))
+        self.assertEqual(Outcome.NOT_RUN, answer.outcome)
+        self.assertEqual([Outcome.NOT_RUN], self.ended)
+        self.assertFalse(self.client.ran)
+
+    def test_a_doubled_message_does_not_run_twice(self):
+        """The network delivers one attempt twice.
+
+        The copy can't be told "not run": the first one ran.
+        """
+        self.gatekeeper.serve(build_request())
+        answer = self.gatekeeper.serve(build_request())
+        self.assertEqual(Outcome.UNKNOWN, answer.outcome)
+        self.assertEqual(["a1"], self.client.ran)
+
+    def test_a_leaving_daemon_refuses_at_once_as_not_run(self):
+        self.takes_work = False
+        answer = self.gatekeeper.serve(build_request())
+        self.assertEqual(Outcome.NOT_RUN, answer.outcome)
+        self.assertEqual(Reason.LEAVING, answer.reason)
+        self.assertEqual(3, answer.unused)
+
+    def test_a_vanished_backend_server_takes_no_work(self):
+        self.gatekeeper.install(None)
+        answer = self.gatekeeper.serve(build_request())
+        self.assertEqual(Reason.NO_ENDPOINT, answer.reason)
+
+    def test_work_for_another_service_is_refused(self):
+        """A peer's view is old: another backend server has taken the place.
+
+        Handed on, the request would reach a server of another service.
+        """
+        answer = self.gatekeeper.serve(build_request(service="catalog"))
+        self.assertEqual(Reason.NO_ENDPOINT, answer.reason)
+        self.assertFalse(self.client.ran)
+
+    def test_a_refusal_from_below_is_marked_so_that_nobody_above_retries(self):
+        """A service that this one calls is full, and so this one answers 503."""
+
+        def fail_below(request):
+            refused = Answer("child", Outcome.NOT_RUN, Reason.LEVEL, retry_after=2.0)
+            self.running.note_answer(request.attempt, refused)
+            return Answer(request.attempt, Outcome.COMPLETED, status=503)
+
+        self.client.answer = fail_below
+        answer = self.gatekeeper.serve(build_request())
+        self.assertTrue(answer.deeper)
+        self.assertEqual(2.0, answer.retry_after)
+
+    def test_a_slow_log_does_not_take_all_slots(self):
+        """The log is slow, so that payouts wait for their claims.
+
+        Holding every slot meanwhile, they would keep out the reads, which
+        need no log at all.
+        """
+        claiming = threading.Event()
+        decided = threading.Event()
+
+        def claim_slowly(request):
+            claiming.set()
+            decided.wait(GENEROUS)
+            return ClaimVerdict(Verdict.WON)
+
+        self.gatekeeper._claim = claim_slowly
+        first = threading.Thread(
+            target=self.gatekeeper.serve, args=(build_request(key=KEY),)
+        )
+        first.start()
+        self.assertTrue(claiming.wait(GENEROUS))
+        second = self.gatekeeper.serve(build_request("a2", key=KEY))
+        read = self.gatekeeper.serve(build_request("a3"))
+        decided.set()
+        first.join(GENEROUS)
+        self.assertEqual(Reason.LOG_DOWN, second.reason)
+        self.assertEqual(Outcome.COMPLETED, read.outcome)
+
+    def test_a_full_endpoint_has_no_room_until_an_answer_leaves(self):
+        self.install(slots=4)
+        inside = threading.Semaphore(0)
+        leave = threading.Event()
+
+        def hold(request):
+            inside.release()
+            leave.wait(GENEROUS)
+            return complete(request)
+
+        self.client.answer = hold
+        answers = []
+        threads = [
+            threading.Thread(
+                target=lambda number=number: answers.append(
+                    self.gatekeeper.serve(build_request(f"w{number}", deadline=60.0))
+                )
+            )
+            for number in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        for _ in range(4):
+            self.assertTrue(inside.acquire(timeout=GENEROUS))
+        self.assertFalse(self.gatekeeper.has_room())
+        leave.set()
+        for thread in threads:
+            thread.join(GENEROUS)
+        self.assertEqual([Outcome.COMPLETED] * 4, [one.outcome for one in answers])
+        self.assertTrue(self.gatekeeper.has_room())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/test/test_router.py
@@ -0,0 +1,261 @@
+"""Tests for the routing of one call, with endpoints that are functions."""
+
+import random
+import unittest
+import unittest.mock
+
+from whinwinch import (
+    claims,
+    levels,
+    messages,
+    placement,
+    resources,
+    retries,
+    router,
+    running,
+)
+from whinwinch.guarded import Guarded
+from whinwinch.messages import Answer, Importance, Load, Outcome, Reason
+
+NOW = 100.0
+RETRY_BUDGET = 3
+WALL = 1_700_000_000.0
+
+
+def complete(request):
+    return Answer(
+        request.attempt, Outcome.COMPLETED, unused=request.budget, body=b"whole"
+    )
+
+
+def refuse(reason, **fields):
+    def answer(request):
+        return Answer(
+            request.attempt,
+            Outcome.NOT_RUN,
+            reason,
+            status=503,
+            unused=request.budget,
+            **fields,
+        )
+
+    return answer
+
+
+def lose(request):
+    return Answer(request.attempt, Outcome.UNKNOWN, Reason.BROKEN, status=502)
+
+
+class Mesh:
+    """Endpoints that answer from a script, and what they were sent."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.sent = []
+
+    def call(self, address, request):
+        self.sent.append((address, request))
+        answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        return answer(request)
+
+    def find_endpoints(self, service):
+        if service == "nowhere":
+            return ()
+        return tuple(
+            messages.Endpoint(f"d{number}", f"10.0.0.{number}:1", service, "a", "r", 10)
+            for number in range(4)
+        )
+
+
+def build_spec(name):
+    payout = resources.CallSpec(
+        "payout",
+        "POST",
+        "/payouts",
+        Importance.CRITICAL,
+        idempotent=False,
+        repeatable=False,
+        segments=("payouts",),
+    )
+    return resources.ServiceSpec(name, retry_budget=RETRY_BUDGET, calls=(payout,))
+
+
+class RouterTest(unittest.TestCase):
+    def build(self, *script):
+        self.mesh = Mesh(*script)
+        self.levels = Guarded(levels.Levels())
+        self.ledger = Guarded(retries.Ledger())
+        self.running = running.Running()
+        self.notes = []
+        return router.Router(
+            clock=lambda: NOW,
+            places=router.Places(
+                "own", self.mesh.find_endpoints, lambda: False, None, self.mesh.call
+            ),
+            find_service=build_spec,
+            match_call=resources.match_call,
+            placement_state=Guarded(placement.Placement("a", random.Random(1))),
+            levels=self.levels,
+            ledger=self.ledger,
+            running=self.running,
+            random=lambda: 0.0,
+            key_window=900.0,
+            note=lambda *note: self.notes.append(note),
+        )
+
+    def route(self, routing, method="GET", path="/books", **fields):
+        incoming = router.Incoming("root-1", "catalog", method, path, **fields)
+        return routing.route_root(incoming)
+
+    def test_a_whole_answer_without_retries(self):
+        routed = self.route(self.build(complete))
+        self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
+        self.assertEqual(0, routed.retries)
+        self.assertEqual("root-1", self.mesh.sent[0][1].root)
+
+    def test_a_refusal_of_one_endpoint_is_retried_at_another(self):
+        routed = self.route(self.build(refuse(Reason.LEAVING), complete))
+        self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
+        self.assertEqual(1, routed.retries)
+        first, second = self.mesh.sent
+        self.assertNotEqual(first[0], second[0])
+        self.assertNotEqual(first[1].attempt, second[1].attempt)
+
+    def test_retries_stay_within_the_budget(self):
+        """Every endpoint refuses, again and again.
+
+        Without the bound one request would go on until its deadline, and many
+        would keep the overload up after its cause has gone.
+        """
+        routed = self.route(self.build(refuse(Reason.QUEUE)))
+        self.assertEqual(Outcome.NOT_RUN, routed.answer.outcome)
+        self.assertLessEqual(len(self.mesh.sent), 1 + RETRY_BUDGET)
+        self.assertLessEqual(routed.retries, RETRY_BUDGET)
+
+    def test_a_refusal_from_deeper_is_passed_up(self):
+        """A service two hops down is full, and says so through the hop between.
+
+        The hop just above it has retried already; a retry here too would
+        multiply by the depth.
+        """
+        self.route(self.build(refuse(Reason.LEVEL, deeper=True)))
+        self.assertEqual(1, len(self.mesh.sent))
+
+    def test_an_unknown_payout_is_not_sent_again(self):
+        """A gatekeeper is killed after it was sent a payout.
+
+        Nobody knows whether the poet has been paid; a second attempt might pay
+        again.
+        """
+        key = claims.make_key(WALL, 1)
+        with unittest.mock.patch("time.time", lambda: WALL):
+            routed = self.route(self.build(lose), "POST", "/payouts", key=key)
+        self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
+        self.assertEqual(1, len(self.mesh.sent))
+
+    def test_an_undeclared_post_is_not_sent_again_after_unknown(self):
+        self.route(self.build(lose), "POST", "/orders")
+        self.assertEqual(1, len(self.mesh.sent))
+
+    def test_a_read_of_unknown_outcome_is_sent_again(self):
+        routed = self.route(self.build(lose, complete))
+        self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
+
+    def test_a_payout_without_a_key_is_refused_before_it_is_sent(self):
+        routed = self.route(self.build(complete), "POST", "/payouts")
+        self.assertEqual(Reason.BAD_REQUEST, routed.answer.reason)
+        self.assertEqual(Outcome.NOT_RUN, routed.answer.outcome)
+        self.assertFalse(self.mesh.sent)
+
+    def test_a_key_that_is_too_old_is_unknown_not_refused_as_not_run(self):
+        """A caller asks again with its key after more than the window.
+
+        The payout may have run when the key was good. Told "not run", the
+        caller would make a new key and have the poet paid twice.
+        """
+        key = claims.make_key(WALL - 1000.0, 1)
+        with unittest.mock.patch("time.time", lambda: WALL):
+            routed = self.route(self.build(complete), "POST", "/payouts", key=key)
+        self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
+        self.assertEqual(Reason.KEY_AGE, routed.answer.reason)
+        self.assertFalse(self.mesh.sent)
+
+    def test_a_caller_cannot_raise_the_declared_importance(self):
+        self.route(self.build(complete), importance=Importance.CRITICAL)
+        self.assertEqual(Importance.NORMAL, self.mesh.sent[0][1].importance)
+
+    def test_a_service_that_nobody_serves(self):
+        routed = self.build(complete).route_root(
+            router.Incoming("root-1", "nowhere", "GET", "/")
+        )
+        self.assertEqual(Reason.NO_ENDPOINT, routed.answer.reason)
+        self.assertGreater(routed.answer.retry_after, 0.0)
+
+    def test_a_level_learnt_from_answers_refuses_at_the_entry(self):
+        """A service further down sheds everything below critical importance.
+
+        Without the level each request would be worked on by all hops above the
+        one that refuses it.
+        """
+        routing = self.build(complete)
+        with self.levels as state:
+            for _ in range(20):
+                state.learn("catalog", "", Load(level=3.0), NOW)
+        routed = self.route(routing)
+        self.assertEqual(Reason.LEVEL, routed.answer.reason)
+        self.assertFalse(self.mesh.sent)
+
+    def test_a_nested_call_carries_on_what_the_backend_server_forgets(self):
+        routing = self.build(complete)
+        holder = messages.Request(
+            "attempt-1",
+            "root-9",
+            "royalties",
+            "payout",
+            "POST",
+            "/payouts",
+            Importance.CRITICAL,
+            NOW + 0.5,
+            budget=2,
+            caller="press",
+            via=("archive",),
+        )
+        with self.ledger as state:
+            state.open(holder.attempt, holder.budget, holder.deadline)
+        routing.route_nested(
+            router.Incoming("attempt-1", "catalog", "GET", "/books"), holder
+        )
+        sent = self.mesh.sent[0][1]
+        self.assertEqual("root-9", sent.root)
+        self.assertEqual(Importance.CRITICAL, sent.importance)
+        self.assertEqual(NOW + 0.5, sent.deadline)
+        self.assertEqual(("archive", "royalties"), sent.via)
+        self.assertEqual("press", sent.caller)
+        self.assertGreater(sent.budget, 0)
+
+    def test_a_loop_of_services_ends(self):
+        """Two services call each other without end.
+
+        Only the deadline would stop them, with thousands of calls in between.
+        """
+        routing = self.build(complete)
+        holder = messages.Request(
+            "attempt-1",
+            "root-9",
+            "catalog",
+            "",
+            "GET",
+            "/",
+            Importance.NORMAL,
+            NOW + 5.0,
+            via=("catalog",) * router.DEEPEST_PATH,
+        )
+        routed = routing.route_nested(
+            router.Incoming("attempt-1", "catalog", "GET", "/"), holder
+        )
+        self.assertEqual(508, routed.answer.status)
+        self.assertFalse(self.mesh.sent)
+
+
+if __name__ == "__main__":
+    unittest.main()
