--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -91,6 +91,7 @@
         backends: The backend servers' processes.
         nodes: `Node` of each pair.
         env: Environment of the daemons and of operators' commands.
+        log_url: URL of the log.
     """
 
     log: processes.Process
@@ -98,6 +99,7 @@
     backends: tuple[processes.Process, ...]
     nodes: tuple[Node, ...]
     env: dict[str, str]
+    log_url: str
 
 
 def place_nodes(services=SERVICES, zones=ZONES):
@@ -132,7 +134,7 @@
     }
     daemons = tuple(start_daemon(running, node, log_port, env) for node in nodes)
     backends = tuple(start_backend(running, node, nodes) for node in nodes)
-    return Mesh(log, daemons, backends, nodes, env)
+    return Mesh(log, daemons, backends, nodes, env, f"http://{HOST}:{log_port}")
 
 
 def start_daemon(running, node, log_port, env):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -113,6 +113,10 @@
         self.killed += bad
         return bad
 
+    def forget(self, process):
+        """Leave out a process that was ended on purpose."""
+        self._running.remove(process)
+
     def check(self):
         """Raise if a process has ended.
 
--- /dev/null
+++ b/test/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failures brought about in real daemons, as separate processes."""
--- /dev/null
+++ b/test/failures/meshes.py
@@ -0,0 +1,200 @@
+"""A small mesh of real processes, and the failures that tests bring about in it."""
+
+import concurrent.futures
+import json
+import os
+import signal
+import tempfile
+import time
+import unittest
+import uuid
+from typing import NamedTuple
+
+import urllib3
+
+from demo import mesh
+from standins import caller, processes
+
+# Nothing here is a verdict on speed: a limit only ends a test that hangs.
+GENEROUS = 60.0
+SERVICE_TIME = 0.02
+ROYALTIES = mesh.Service("royalties", 20, 100, SERVICE_TIME)
+CATALOG = mesh.Service("catalog", 20, 100, SERVICE_TIME)
+PAYOUT = {
+    "name": "payout",
+    "method": "POST",
+    "path": "/payouts",
+    "importance": "critical",
+    "idempotent": False,
+}
+RESOURCE = {
+    "kind": "Service",
+    "name": "royalties",
+    "spec": {"retry_budget": 3, "timeout": 10.0, "calls": [PAYOUT]},
+}
+
+
+class Reply(NamedTuple):
+    """What a caller was told.
+
+    Attributes:
+        status: HTTP status, 0 when the connection broke.
+        outcome: The stated outcome, "" for none.
+        reason: The stated reason, "" for none.
+        body: The body.
+    """
+
+    status: int
+    outcome: str = ""
+    reason: str = ""
+    body: bytes = b""
+
+
+class MeshTest(unittest.TestCase):
+    """Starts a mesh for a whole class of tests and stops it after them."""
+
+    services = (ROYALTIES,)
+    zones = ("a", "b")
+    resources = (RESOURCE,)
+
+    @classmethod
+    def setUpClass(cls):
+        directory = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.running = cls.enterClassContext(processes.Processes(directory))
+        cls.nodes = mesh.place_nodes(cls.services, cls.zones)
+        cls.http = urllib3.PoolManager(retries=False, timeout=GENEROUS, maxsize=64)
+        cls.pool = concurrent.futures.ThreadPoolExecutor(64)
+        cls.addClassCleanup(cls.pool.shutdown, cancel_futures=True)
+        cls.mesh = mesh.start_mesh(cls.running, cls.nodes)
+        mesh.wait_until_ready(cls.running, cls.mesh)
+        mesh.wait_until_reached(cls.running, cls.mesh)
+        for resource in cls.resources:
+            cls.apply(cls.nodes[0], resource)
+        if cls.resources:
+            mesh.wait_until_in_force(cls.running, cls.mesh)
+
+    @classmethod
+    def apply(cls, node, resource, condition=None):
+        """Put a resource through a daemon; return the HTTP status."""
+        token = cls.mesh.env["WHINWINCH_OPERATOR_TOKEN"]
+        headers = {"Authorization": f"Bearer {token}"} | (condition or {})
+        answer = cls.http.request(
+            "PUT",
+            f"{node.entry_url}/admin/v1/services/{resource['name']}",
+            json=resource,
+            headers=headers,
+        )
+        return answer.status
+
+    def read_resource(self, node, name):
+        """Return the JSON form of a resource as a daemon has it."""
+        token = self.mesh.env["WHINWINCH_OPERATOR_TOKEN"]
+        answer = self.http.request(
+            "GET",
+            f"{node.entry_url}/admin/v1/services/{name}",
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        return answer.json()
+
+    def call(self, node, path, method="GET", **headers):
+        """Call a service through a daemon and return a `Reply`."""
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            answer = self.http.request(
+                method, f"{node.entry_url}/services/{path}", headers=names
+            )
+        except urllib3.exceptions.HTTPError:
+            return Reply(0)
+        return Reply(
+            answer.status,
+            answer.headers.get("Whinwinch-Outcome", ""),
+            answer.headers.get("Whinwinch-Reason", ""),
+            answer.data,
+        )
+
+    def pay(self, node, key, timeout=8000):
+        """Ask for a payout under a key."""
+        return self.call(
+            node,
+            "royalties/payouts",
+            "POST",
+            Idempotency_Key=key,
+            Whinwinch_Timeout=str(timeout),
+        )
+
+    def pay_soon(self, node, key, **arguments):
+        """Ask for a payout without waiting; return the future of its `Reply`."""
+        return self.pool.submit(self.pay, node, key, **arguments)
+
+    def set_faults(self, url, **faults):
+        """Set faults of a stand-in."""
+        self.http.request("POST", f"{url}/faults", json=faults)
+
+    def set_log_faults(self, **faults):
+        """Set faults of the log."""
+        self.set_faults(self.mesh.log_url, **faults)
+
+    def slow_down(self, factor):
+        """Make all backend servers slower by a factor."""
+        for node in self.nodes:
+            self.set_faults(node.backend_url, slow=factor)
+
+    def read_runs(self, key):
+        """Return how often a key was run, over all backend servers."""
+        return mesh.read_runs(self.nodes)[0].get(key, 0)
+
+    def wait_until(self, what, condition):
+        """Wait for an event that has to come."""
+        until = time.monotonic() + GENEROUS
+        while not condition():
+            if time.monotonic() > until:
+                self.fail(f"{what}: not within {GENEROUS} s")
+            time.sleep(0.02)
+
+    def find_runner(self, key):
+        """Wait until a key is being run; return the node that runs it."""
+        found = []
+
+        def is_run():
+            for node in self.nodes:
+                answer = self.http.request("GET", f"{node.backend_url}/ran")
+                if answer.json()["keys"].get(key):
+                    found.append(node)
+                    return True
+            return False
+
+        self.wait_until("the payout is being run", is_run)
+        return found[0]
+
+    def find_other(self, node):
+        """Return another node than this one."""
+        return next(one for one in self.nodes if one != node)
+
+    def find_daemon(self, node):
+        """Return the process of a node's daemon."""
+        return self.mesh.daemons[self.nodes.index(node)]
+
+    def signal(self, node, number):
+        """Send a signal to a node's daemon."""
+        os.kill(self.find_daemon(node).popen.pid, number)
+
+    def kill(self, node):
+        """Kill a node's daemon; it says nothing more."""
+        self.signal(node, signal.SIGKILL)
+        self.find_daemon(node).popen.wait()
+        self.running.forget(self.find_daemon(node))
+
+
+def new_key():
+    """Return a new idempotency key."""
+    return caller.new_key()
+
+
+def new_marker():
+    """Return a text that marks one request and its answer."""
+    return uuid.uuid4().hex
+
+
+def read_marker(reply):
+    """Return the marker in an answer."""
+    return json.loads(reply.body)["marker"]
