--- /dev/null
+++ b/bench/rounds.py
@@ -0,0 +1,113 @@
+"""Rounds of gossip among many memberships in one process, without sockets."""
+
+import random
+from typing import NamedTuple
+
+from whinwinch import membership, membertable, messages
+
+
+class Traffic(NamedTuple):
+    """What one round sent.
+
+    Attributes:
+        exchanges: Messages that were answered.
+        member_bytes: Estimated bytes of members in messages and answers.
+        crossings: Exchanges that left the zone.
+    """
+
+    exchanges: int
+    member_bytes: int
+    crossings: int
+
+
+def build_endpoint(number, zones=1, regions=1, services=1):
+    """Return the endpoint of a numbered daemon, spread over zones and regions."""
+    zone = number % zones
+    return messages.Endpoint(
+        daemon=f"{random.Random(number).getrandbits(128):032x}",
+        address=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7946",
+        service=f"service-{number % services}",
+        zone=f"zone-{zone}",
+        region=f"region-{zone % regions}",
+        slots=70,
+    )
+
+
+def build_mesh(count, zones=1, regions=1, services=1, settings=None):
+    """Return memberships by identifier that all know each other."""
+    endpoints = [build_endpoint(i, zones, regions, services) for i in range(count)]
+    mesh = {
+        endpoint.daemon: membership.Membership(endpoint, random.Random(i), settings)
+        for i, endpoint in enumerate(endpoints)
+    }
+    page = membership.MemberPage(
+        tuple(membertable.Member(endpoint) for endpoint in endpoints),
+        membertable.BUCKETS,
+    )
+    for daemon in mesh.values():
+        daemon.take_page(page, 0.0)
+    return mesh
+
+
+def run_round(mesh, now, reaches=lambda sender, receiver: True):
+    """Let each membership plan and carry out one interval.
+
+    Args:
+        mesh: Memberships by identifier; those missing don't answer.
+        now: Time in seconds.
+        reaches: Tells whether a message between two endpoints arrives; asked
+            once for the message and once for its answer.
+
+    Returns:
+        The `Traffic`.
+    """
+    sent = []
+    for sender in tuple(mesh.values()):
+        for instruction in sender.plan(now):
+            if isinstance(instruction, membership.ProbeVia):
+                _probe_via(mesh, sender, instruction, now, reaches)
+            else:
+                sent.append(_probe(mesh, sender, instruction, now, reaches))
+    return Traffic(*map(sum, zip(*sent, strict=True))) if sent else Traffic(0, 0, 0)
+
+
+def _probe(mesh, sender, probe, now, reaches):
+    size = sum(map(membership.estimate_bytes, probe.members))
+    receiver = mesh.get(probe.daemon)
+    if receiver is None or not reaches(sender.own.endpoint, receiver.own.endpoint):
+        sender.missed(probe.daemon, now)
+        return Traffic(0, size, 0)
+    receiver.merge(probe.members, now)
+    receiver.heard(sender.own.endpoint.daemon, now)
+    answer = receiver.take_rumours(now, sender.own.endpoint.daemon)
+    answer += receiver.compare(probe.digests, now)
+    size += sum(map(membership.estimate_bytes, answer))
+    if not reaches(receiver.own.endpoint, sender.own.endpoint):
+        sender.missed(probe.daemon, now)
+        return Traffic(0, size, 0)
+    sender.merge(answer, now)
+    sender.heard(probe.daemon, now)
+    crosses = receiver.own.endpoint.zone != sender.own.endpoint.zone
+    return Traffic(1, size, int(crosses))
+
+
+def _probe_via(mesh, sender, instruction, now, reaches):
+    target = mesh.get(instruction.daemon)
+    own = sender.own.endpoint
+    words = []
+    for endpoint in instruction.helpers:
+        helper = mesh.get(endpoint.daemon)
+        if helper is None or not _reach_both(reaches, own, endpoint):
+            continue
+        answers = target is not None and _reach_both(
+            reaches, endpoint, target.own.endpoint
+        )
+        words.append(answers)
+    if any(words):
+        sender.heard(instruction.daemon, now)
+    elif words:
+        sender.deny(instruction.daemon, now)
+
+
+def _reach_both(reaches, one, other):
+    return reaches(one, other) and reaches(other, one)
