--- a/whinwinch/logservice/claimer.py
+++ b/whinwinch/logservice/claimer.py
@@ -258,13 +258,17 @@
         wanted = []
         while self._queue and len(wanted) < BATCH:
             entry = self._queue.popleft()
-            if type(entry) is not Claim:
-                wanted.append(entry)
-            elif entry in self._waiters:
+            if self._is_awaited(entry):
                 self._sent.add(entry)
                 wanted.append(entry)
+            elif type(entry) is not Claim:
+                wanted.append(entry)
         return wanted
 
+    def _is_awaited(self, entry):
+        # A release equals the claim that it releases, being the same tuple.
+        return type(entry) is Claim and entry in self._waiters
+
     async def _write(self, batch):
         skips = self._state.skips
         self._last_append = asyncio.get_running_loop().time()
@@ -313,7 +317,7 @@
         """Tell all verdicts; a claim that its own record didn't decide is stale."""
         self._tell_decided(batch)
         for entry in batch:
-            if entry in self._waiters:
+            if self._is_awaited(entry):
                 self._tell(entry, self._judge_left(entry))
 
     def _judge_left(self, claim):
@@ -324,7 +328,7 @@
 
     def _tell_decided(self, batch):
         for entry in batch:
-            if entry not in self._waiters:
+            if not self._is_awaited(entry):
                 continue
             verdict = self._state.judge(entry)
             if verdict.verdict in (Verdict.WON, Verdict.LOST):
