--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -163,6 +163,18 @@
         self.assertFalse(self.reader.install(old))
         self.assertEqual(self.reader.get("service", "catalog").body, {"n": 3})
 
+    def test_a_snapshot_carries_what_was_decided(self):
+        """A daemon starts from a snapshot; a change from before comes again.
+
+        Without the change identifiers it alone would accept the copy.
+        """
+        self.log.write(change(3, replaces=1, body=None))
+        self.log.replay(self.reader, 2)
+        late = Configuration()
+        late.install(self.reader.encode_snapshot())
+        self.log.write(change(1))
+        self.assertIs(late.apply(*self.log.records[3]).ground, Ground.DOUBLE)
+
     def test_a_snapshot_that_leaves_a_gap_is_passed_over(self):
         old = self.reader.encode_snapshot()
         self.log.write(change(3, replaces=1, body={"n": 3}))
