--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -111,13 +111,14 @@
     )
 
 
-def start_mesh(running, nodes, log_options=()):
+def start_mesh(running, nodes, log_options=(), find_env=lambda node: {}):
     """Start the log, then all daemons and backend servers at once.
 
     Args:
         running: `processes.Processes`.
         nodes: Tuple of `Node`.
         log_options: Further arguments of the log.
+        find_env: Returns further environment variables of a node's daemon.
 
     Returns:
         A `Mesh` that isn't ready yet.
@@ -132,7 +133,9 @@
         "WHINWINCH_OPERATOR_TOKEN": token,
         "WHINWINCH_PEER_TOKEN": secrets.token_hex(),
     }
-    daemons = tuple(start_daemon(running, node, log_port, env) for node in nodes)
+    daemons = tuple(
+        start_daemon(running, node, log_port, env | find_env(node)) for node in nodes
+    )
     backends = tuple(start_backend(running, node, nodes) for node in nodes)
     return Mesh(log, daemons, backends, nodes, env, f"http://{HOST}:{log_port}")
 
--- a/test/failures/meshes.py
+++ b/test/failures/meshes.py
@@ -65,7 +65,7 @@
         cls.http = urllib3.PoolManager(retries=False, timeout=GENEROUS, maxsize=64)
         cls.pool = concurrent.futures.ThreadPoolExecutor(64)
         cls.addClassCleanup(cls.pool.shutdown, cancel_futures=True)
-        cls.mesh = mesh.start_mesh(cls.running, cls.nodes)
+        cls.mesh = mesh.start_mesh(cls.running, cls.nodes, find_env=cls.find_env)
         mesh.wait_until_ready(cls.running, cls.mesh)
         mesh.wait_until_reached(cls.running, cls.mesh)
         for resource in cls.resources:
@@ -73,6 +73,11 @@
         if cls.resources:
             mesh.wait_until_in_force(cls.running, cls.mesh)
 
+    @classmethod
+    def find_env(cls, node):
+        """Return further environment variables of a node's daemon."""
+        return {}
+
     @classmethod
     def apply(cls, node, resource, condition=None):
         """Put a resource through a daemon; return the HTTP status."""
@@ -170,6 +175,23 @@
         """Return another node than this one."""
         return next(one for one in self.nodes if one != node)
 
+    def restart(self, node):
+        """Start a node's daemon anew, after it has ended."""
+        log_port = self.mesh.log_url.rpartition(":")[2]
+        env = self.mesh.env | self.find_env(node)
+        daemon = mesh.start_daemon(self.running, node, log_port, env)
+        daemons = list(self.mesh.daemons)
+        daemons[self.nodes.index(node)] = daemon
+        type(self).mesh = self.mesh._replace(daemons=tuple(daemons))
+
+    def is_ready(self, node):
+        """Return whether a node's daemon says that it is ready."""
+        try:
+            answer = self.http.request("GET", f"{node.entry_url}/ready")
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
     def find_daemon(self, node):
         """Return the process of a node's daemon."""
         return self.mesh.daemons[self.nodes.index(node)]
