Keep a POST without a mark from being repeated; take huge numbers

A call declared for all methods without a word on idempotence made POSTs below its path repeatable after an unknown outcome, while undeclared ones were not: declaring an importance could double a notification. A number too large for a float ended the check with OverflowError instead of a finding. Deleting what is not there is 404 again also with a key, and a drain that a daemon can't do is no longer taken for an unknown one. The unused format_resource is gone.

--- a/test/operators/test_api.py
+++ b/test/operators/test_api.py
@@ -208,12 +208,7 @@
         self.assertEqual([line["type"] for line in lines], ["changed", "deleted"])
 
     def test_sees_a_change_as_it_happens(self):
-        answer = self.pool.request(
-            "GET",
-            self.url + "/services?watch=true&timeout=60",
-            headers={"Authorization": f"Bearer {TOKEN}"},
-            preload_content=False,
-        )
+        answer = self.open_watch()
         lines = iter(answer.stream(1))
         self.read_line(lines)
         self.put()
@@ -223,6 +218,14 @@
         self.store.close()
         answer.drain_conn()
 
+    def open_watch(self):
+        return self.pool.request(
+            "GET",
+            self.url + "/services?watch=true&timeout=60",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            preload_content=False,
+        )
+
     def read_line(self, parts):
         data = b""
         while not data.endswith(b"\n"):
@@ -234,6 +237,19 @@
         self.assertError(answer, 429, "too-many-watches")
         self.assertIn("Retry-After", answer.headers)
 
+    def test_place_of_a_client_that_left_is_given_back(self):
+        """A watcher's machine goes away in the middle of its watch.
+
+        Were its place kept, the daemon would soon refuse all watches.
+        """
+        self.open_watch().close()
+        for _ in range(100):
+            self.put()
+            answer = self.ask("GET", "/services?watch=true&timeout=0")
+            if answer.status == 200:
+                return
+        self.fail("the place was not given back")
+
     def test_place_is_given_back(self):
         for _ in range(3):
             self.read_lines("/services?watch=true&timeout=0")
--- a/test/operators/test_client.py
+++ b/test/operators/test_client.py
@@ -39,6 +39,8 @@
     def test_errors_have_types(self):
         with self.assertRaises(client.NotFound):
             self.client.get_service("a/b?c")
+        with self.assertRaises(client.NotFound):
+            self.client.delete_service("archive")
         with self.assertRaises(client.AccessDenied):
             self.make_client(self.url, token="x" * 20).list_services()
         with self.assertRaises(errors.InputErrors) as caught:
--- a/test/test_resources.py
+++ b/test/test_resources.py
@@ -108,12 +108,11 @@
         """
         document = change_spec(calls=[{"name": "a", "idempotent": "no"}])
         call = resources.read_resource(document).resource.spec.calls[0]
-        self.assertFalse(call.idempotent)
+        self.assertEqual((call.idempotent, call.repeatable), (False, False))
 
-    def test_formatted_resource_reads_back_the_same(self):
-        resource = resources.check_resource(ROYALTIES)
-        form = resources.format_resource(resource)
-        self.assertEqual(resources.check_resource(form), resource)
+    def test_huge_numbers(self):
+        problems = find_problems(change_spec(timeout=10**400, retry_budget=10**400))
+        self.assertEqual(set(problems), {"spec.timeout", "spec.retry_budget"})
 
     @settings(derandomize=True, max_examples=60, deadline=None)
     @given(
@@ -164,6 +163,23 @@
             self.assertEqual(self.match("POST", path), "payout", path)
         self.assertEqual(self.match("post", "/payouts"), "payout")
 
+    def test_importance_alone_does_not_make_a_post_repeatable(self):
+        """An operator declares that everything below a path matters.
+
+        Were its POSTs sent again after an unknown outcome because of that, a
+        notification would go out twice.
+        """
+        document = change_spec(calls=[{"name": "a", "path": "/reports"}])
+        spec = resources.check_resource(document).spec
+        post = resources.match_call(spec, "POST", "/reports/7")
+        self.assertEqual(
+            (post.name, post.idempotent, post.repeatable), ("a", True, False)
+        )
+        self.assertTrue(resources.match_call(spec, "GET", "/reports/7").repeatable)
+        document = change_spec(calls=[{"name": "a", "idempotent": True}])
+        spec = resources.check_resource(document).spec
+        self.assertTrue(resources.match_call(spec, "POST", "/reports").repeatable)
+
     def test_undeclared_calls_take_the_service_default(self):
         spec = resources.default_service("archive")
         call = resources.match_call(spec, "POST", "/lists")
--- a/whinwinch/operators/api.py
+++ b/whinwinch/operators/api.py
@@ -168,11 +168,6 @@
         _check_query(query, ())
         present = self._find(name)
         condition = _read_condition(present)
-        if (
-            not condition
-            and forms.REPEAT_HEADER not in cherrypy.serving.request.headers
-        ):
-            raise _not_found(name)
         verdict = self._propose(name, None, condition, present)
         return _encode(forms.ChangeAnswer(name=name, version=verdict.version))
 
@@ -226,6 +221,8 @@
             made=self._parts.write_time(),
         )
         verdict = self._store.find_verdict(change)
+        if verdict is None and body is None and not replaces:
+            raise _not_found(name)
         if verdict is None and present is not None and 0 < replaces < present.version:
             raise _conflict(name, present)
         if verdict is None:
--- a/whinwinch/operators/client.py
+++ b/whinwinch/operators/client.py
@@ -26,6 +26,8 @@
 # Seconds between rounds over all daemons that all failed; doubled each round.
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 5.0
+# Answers that another daemon may not give.
+RETRIED_ELSEWHERE = frozenset({429, 500, 502, 503, 504})
 # Rounds in a row without any line after which a watch gives up.
 WATCH_ROUNDS = 10
 
@@ -389,7 +391,7 @@
     error = reply.document.get("error", {})
     message = error.get("message", f"status {reply.status}")
     code = error.get("code", "")
-    if reply.status >= 500 or reply.status == 429:
+    if reply.status in RETRIED_ELSEWHERE:
         sent = error.get("may_have_taken_effect", reply.status != 429)
         raise _NoAnswer(message, sent, error.get("change_id", ""))
     if reply.status == 400:
--- a/whinwinch/resources.py
+++ b/whinwinch/resources.py
@@ -101,8 +101,10 @@
         path: Path prefix as declared.
         importance: How much the call matters.
         idempotent: Whether it may run more than once. If not, a key is needed.
-        repeatable: Whether it may be sent again after an unknown outcome. An
-            undeclared POST or PATCH needs no key, but is not repeated either.
+        marked: Whether the resource states `idempotent`.
+        repeatable: Whether it may be sent again after an unknown outcome. A
+            POST or PATCH without a mark needs no key, but is not repeated
+            either.
         key_window: Seconds for which its keys are good.
         segments: The path prefix in decoded segments.
     """
@@ -112,6 +114,7 @@
     path: str = "/"
     importance: Importance = Importance.NORMAL
     idempotent: bool = True
+    marked: bool = False
     repeatable: bool = True
     key_window: float = DEFAULT_KEY_WINDOW
     segments: tuple[str, ...] = ()
@@ -236,11 +239,8 @@
         segments = split_path(path)
         for call in spec.calls:
             if call.method in methods and _matches(call, segments):
-                return call
-    return CallSpec(
-        importance=spec.importance,
-        repeatable=method not in UNSAFE_TO_REPEAT,
-    )
+                return _limit_repeats(call, method)
+    return _limit_repeats(CallSpec(importance=spec.importance), method)
 
 
 def split_path(path):
@@ -257,30 +257,6 @@
     return tuple(segments)
 
 
-def format_resource(resource):
-    """Return the JSON form of a checked resource, every field stated."""
-    spec = resource.spec
-    form: ServiceForm = {
-        "importance": spec.importance.name.lower(),
-        "retry_budget": spec.retry_budget,
-        "timeout": spec.timeout,
-        "max_wait": spec.max_wait,
-        "calls": [_format_call(call) for call in spec.calls],
-    }
-    return ResourceForm(kind=resource.kind, name=resource.name, spec=form)
-
-
-def _format_call(call):
-    return CallForm(
-        name=call.name,
-        method=call.method,
-        path=call.path,
-        importance=call.importance.name.lower(),
-        idempotent=call.idempotent,
-        key_window=call.key_window,
-    )
-
-
 def _matches(call, segments):
     want = call.segments
     have = segments[: len(want)]
@@ -292,6 +268,13 @@
     return all(segment in (ANY_SEGMENT, found) for segment, found in pairs)
 
 
+def _limit_repeats(call, method):
+    """Return the call, not to be repeated when a POST or PATCH has no mark."""
+    if call.marked or method not in UNSAFE_TO_REPEAT:
+        return call
+    return call._replace(repeatable=False)
+
+
 def _specificity(call):
     literal = sum(segment != ANY_SEGMENT for segment in call.segments)
     return (len(call.segments), literal, call.method != ANY_METHOD)
@@ -317,10 +300,12 @@
     values = _read_object(document, _CALL_FIELDS, place, findings)
     if values["importance"] is None:
         values["importance"] = importance
-    if values["idempotent"] is None:
+    marked = values["idempotent"] is not None
+    if not marked:
         values["idempotent"] = _assume_idempotent(document, values, place, findings)
     return CallSpec(
         **values,
+        marked=marked,
         repeatable=values["idempotent"],
         segments=split_path(values["path"]),
     )
@@ -421,9 +406,10 @@
 
 
 def _is_number(value):
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    if isinstance(value, bool):
         return False
-    return math.isfinite(value)
+    # An int may be too large for math.isfinite, which would raise.
+    return isinstance(value, int) or (isinstance(value, float) and math.isfinite(value))
 
 
 def _number(low, high, unit):
