--- a/test/operators/test_api.py
+++ b/test/operators/test_api.py
@@ -32,7 +32,7 @@
         self.drained = []
         self.store = make_store(self.log)
         self.url = self.start_daemon(self.store)
-        self.pool = urllib3.PoolManager(retries=False, timeout=30)
+        self.pool = urllib3.PoolManager(retries=False, timeout=30, maxsize=4)
         self.addCleanup(self.pool.clear)
 
     def start_daemon(self, store):
@@ -141,12 +141,15 @@
         again.
         """
         self.log.fault = fakes.LogDown(False)
-        answer = self.put()
+        with self.assertLogs(level="WARNING"):
+            answer = self.put()
         error = self.assertError(answer, 503, "log-down")
         self.assertFalse(error["may_have_taken_effect"])
         self.assertIn("Retry-After", answer.headers)
         self.log.fault = fakes.LogDown(None)
-        error = self.assertError(self.put(), 503, "unknown")
+        with self.assertLogs(level="WARNING"):
+            answer = self.put()
+        error = self.assertError(answer, 503, "unknown")
         self.assertTrue(error["may_have_taken_effect"])
         self.assertIn("change_id", error)
 
--- a/test/operators/test_client.py
+++ b/test/operators/test_client.py
@@ -74,10 +74,13 @@
     def test_log_down(self):
         """The log is down, or its answer is lost, while a change is applied."""
         self.log.fault = fakes.LogDown(False)
-        with self.assertRaises(client.Unreachable):
+        with self.assertLogs(level="WARNING"), self.assertRaises(client.Unreachable):
             self.client.apply_service(DOCUMENT)
         self.log.fault = fakes.LogDown(None)
-        with self.assertRaises(client.Undecided) as caught:
+        with (
+            self.assertLogs(level="WARNING"),
+            self.assertRaises(client.Undecided) as caught,
+        ):
             self.client.apply_service(DOCUMENT)
         self.assertTrue(caught.exception.change_id)
 
@@ -100,7 +103,8 @@
 
         self.store._append = append
         subject = self.make_client(self.url, self.url)
-        self.assertEqual(subject.apply_service(DOCUMENT), 1)
+        with self.assertLogs(level="WARNING"):
+            self.assertEqual(subject.apply_service(DOCUMENT), 1)
         self.assertEqual(self.client.get_service("archive").spec, {"timeout": 9})
 
     def test_same_key_for_another_change(self):
--- a/test/operators/test_store.py
+++ b/test/operators/test_store.py
@@ -63,16 +63,19 @@
         of a colleague in between.
         """
         self.log.fault, self.log.keeps = fakes.LogDown(None), True
-        verdict = self.store.propose(fakes.make_change(body={}), 1)
+        with self.assertLogs(level="WARNING"):
+            verdict = self.store.propose(fakes.make_change(body={}), 1)
         self.assertEqual(verdict.decision, store.Decision.ACCEPTED)
 
     def test_unread_change_is_unknown(self):
         """The log's answer is lost and the log can't be read either."""
         self.log.fault = fakes.LogDown(None)
-        verdict = self.store.propose(fakes.make_change(body={}), 0)
+        with self.assertLogs(level="WARNING"):
+            verdict = self.store.propose(fakes.make_change(body={}), 0)
         self.assertEqual(verdict.decision, store.Decision.UNKNOWN)
         self.log.fault = fakes.LogDown(False)
-        verdict = self.store.propose(fakes.make_change(body={}), 0)
+        with self.assertLogs(level="WARNING"):
+            verdict = self.store.propose(fakes.make_change(body={}), 0)
         self.assertEqual(verdict.decision, store.Decision.NOT_WRITTEN)
 
     def test_change_copied_by_the_log_keeps_its_first_verdict(self):
