Note the end of a call in one place, and only completed ones as latency

The daemon recorded refusals as latency, which makes an overloaded service look fast, and counted made-up service names under themselves, which pushes real ones out of the bound. note_call does both right; the daemon has yet to call it.

--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -40,6 +40,31 @@
         self.assertEqual(values[f"{name}_count{{{labels}}}"], "100")
         self.assertEqual(values[f"{name}_sum{{{labels}}}"], "5.05")
 
+    def test_refusals_do_not_look_like_speed(self):
+        """An overloaded service refuses most calls at once.
+
+        Counted as latency, the refusals would make it look faster than ever.
+        """
+        parts = (Importance.LOW, Outcome.NOT_RUN, Reason.LEVEL, 0.0001, 0)
+        for _ in range(99):
+            self.metrics.note_call("archive", *parts)
+        parts = (Importance.LOW, Outcome.COMPLETED, Reason.NONE, 2.0, 3)
+        self.metrics.note_call("archive", *parts)
+        text = self.metrics.render_metrics()
+        count = 'latency_seconds_count{service="archive",importance="low"} 1\n'
+        self.assertIn(count, text)
+        self.assertIn('retries_total{service="archive"} 3\n', text)
+        self.assertIn('reason="admission-level"} 99\n', text)
+
+    def test_names_without_endpoints_take_no_place(self):
+        parts = (Importance.LOW, Outcome.NOT_RUN, Reason.NO_ENDPOINT, 0.0001, 0)
+        for number in range(2 * metrics.MAX_SERVICES):
+            self.metrics.note_call(f"s{number}", *parts)
+        self.metrics.count_retry("archive")
+        text = self.metrics.render_metrics()
+        self.assertIn('retries_total{service="archive"} 1\n', text)
+        self.assertNotIn('"s0"', text)
+
     def test_made_up_services_are_counted_together(self):
         """A caller asks for a new service name with every request.
 
--- a/whinwinch/metrics.py
+++ b/whinwinch/metrics.py
@@ -2,8 +2,7 @@
 
 Each series costs memory for ever, so all sets of labels are bounded: a caller
 who makes up service names would otherwise fill the daemon's memory. What is
-beyond the bound is counted under `OTHER`. Pass names of services that exist;
-made-up ones would push real ones out of the bound.
+beyond the bound is counted under `OTHER`.
 """
 
 import threading
@@ -12,7 +11,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .messages import Importance
+from .messages import Importance, Outcome, Reason
 
 PREFIX = "whinwinch"
 OTHER = "other"
@@ -85,6 +84,30 @@
         self._counters = {}
         self._list_gauges = list_gauges
 
+    def note_call(self, service, importance, outcome, reason, seconds, retries):
+        """Note the end of a call, in all metrics that it concerns.
+
+        Only completed calls count towards latency: refusals are quick, and would
+        make an overloaded service look fast.
+
+        Args:
+            service: Name of the called service, as the caller wrote it.
+            importance: `messages.Importance` of the call.
+            outcome: `messages.Outcome`.
+            reason: `messages.Reason`.
+            seconds: Time from its arrival to its answer.
+            retries: Retries that it caused.
+        """
+        # A name without endpoints may be made up. Counted under itself it would
+        # take the place of a real service within the bound.
+        if reason is Reason.NO_ENDPOINT and service not in self._services:
+            service = OTHER
+        if outcome is Outcome.COMPLETED:
+            self.record_latency(service, importance, seconds)
+        self.count_outcome(service, outcome, reason)
+        if retries:
+            self.count_retry(service, retries)
+
     def record_latency(self, service, importance, seconds):
         """Record how long a call took that got an answer.
 
@@ -116,9 +139,10 @@
             Label("reason", reason.value),
         )
 
-    def count_retry(self, service):
-        """Count a retry sent to a service."""
-        self.count("retries_total", Label("service", self._bound_service(service)))
+    def count_retry(self, service, step=1):
+        """Count retries that calls of a service caused."""
+        label = Label("service", self._bound_service(service))
+        self.count("retries_total", label, step=step)
 
     def count_claim(self, result):
         """Count a claim of non-idempotent work by its result.
@@ -171,7 +195,7 @@
         return self._latencies.setdefault(key, _Latency())
 
     def _bound_service(self, service):
-        if service in self._services:
+        if service in self._services or service == OTHER:
             return service
         with self._lock:
             return self._add_service(service)
