--- a/test/operators/test_api.py
+++ b/test/operators/test_api.py
@@ -32,7 +32,7 @@
         self.drained = []
         self.store = make_store(self.log)
         self.url = self.start_daemon(self.store)
-        self.pool = urllib3.PoolManager(retries=False, timeout=30)
+        self.pool = urllib3.PoolManager(retries=False, timeout=30, maxsize=4)
         self.addCleanup(self.pool.clear)
 
     def start_daemon(self, store):
@@ -141,12 +141,15 @@
         again.
         """
         self.log.fault = fakes.LogDown(False)
-        answer = self.put()
+        with self.assertLogs(level="WARNING"):
+            answer = self.put()
         error = self.assertError(answer, 503, "log-down")
         self.assertFalse(error["may_have_taken_effect"])
         self.assertIn("Retry-After", answer.headers)
         self.log.fault = fakes.LogDown(None)
-        error = self.assertError(self.put(), 503, "unknown")
+        with self.assertLogs(level="WARNING"):
+            answer = self.put()
+        error = self.assertError(answer, 503, "unknown")
         self.assertTrue(error["may_have_taken_effect"])
         self.assertIn("change_id", error)
 
@@ -208,12 +211,7 @@
         self.assertEqual([line["type"] for line in lines], ["changed", "deleted"])
 
     def test_sees_a_change_as_it_happens(self):
-        answer = self.pool.request(
-            "GET",
-            self.url + "/services?watch=true&timeout=60",
-            headers={"Authorization": f"Bearer {TOKEN}"},
-            preload_content=False,
-        )
+        answer = self.open_watch()
         lines = iter(answer.stream(1))
         self.read_line(lines)
         self.put()
@@ -223,6 +221,14 @@
         self.store.close()
         answer.drain_conn()
 
+    def open_watch(self):
+        return self.pool.request(
+            "GET",
+            self.url + "/services?watch=true&timeout=60",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            preload_content=False,
+        )
+
     def read_line(self, parts):
         data = b""
         while not data.endswith(b"\n"):
@@ -234,6 +240,19 @@
         self.assertError(answer, 429, "too-many-watches")
         self.assertIn("Retry-After", answer.headers)
 
+    def test_place_of_a_client_that_left_is_given_back(self):
+        """A watcher's machine goes away in the middle of its watch.
+
+        Were its place kept, the daemon would soon refuse all watches.
+        """
+        self.open_watch().close()
+        for _ in range(100):
+            self.put()
+            answer = self.ask("GET", "/services?watch=true&timeout=0")
+            if answer.status == 200:
+                return
+        self.fail("the place was not given back")
+
     def test_place_is_given_back(self):
         for _ in range(3):
             self.read_lines("/services?watch=true&timeout=0")
