--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -13,10 +13,10 @@
 import random
 from typing import NamedTuple
 
-from whinwinch import gate, levels, messages, placement
+from whinwinch import gate, levels, messages, placement, retries
 
 NETWORK_SECONDS = 0.001
-# Stand-in for the retry module: retries that one root request may cause.
+# Retries that one root request may cause.
 RETRY_BUDGET = 3
 BASELINE_RETRIES = 3
 BASELINE_TIMEOUT = 1.0
@@ -51,13 +51,14 @@
         until: Time in seconds up to which it is slower.
         failing: Whether it answers an error at once.
         lying: Factor by which it announces more slots than it has.
-        from_start: Whether the fault is there from the start of the run.
+        joins: Time in seconds at which the endpoint joins.
     """
 
     slower: float = 1.0
     until: float = math.inf
     failing: bool = False
     lying: float = 1.0
+    joins: float = 0.0
 
 
 class Service(NamedTuple):
@@ -149,7 +150,6 @@
     def __init__(self):
         self.work = collections.Counter()
         self.completed = set()
-        self.retries = collections.Counter()
 
     def waste(self):
         """Return the share of work done for requests that did not complete."""
@@ -215,46 +215,60 @@
     def __init__(self, mesh, name, zone):
         self.mesh = mesh
         self.levels = levels.Levels()
-        self.placement = placement.Placement(zone, random.Random(f"{name}"))
-
-    def call(self, request, factor, reply, tried=frozenset()):
-        """Place an attempt; `reply` takes the answer."""
-        loop = self.mesh.loop
-        service = request.service
-        endpoints = self.mesh.endpoints[service]
-        choice = self.placement.choose(request, endpoints, loop.now, tried)
+        self.ledger = retries.Ledger()
+        self.placement = placement.Placement(zone, random.Random(name))
+        self._random = random.Random(f"back-off {name}").random
+
+    def call(self, request, factor, holder, reply, tries=0, tried=frozenset()):
+        """Try endpoints until an answer stands; `reply` takes it."""
+        now = self.mesh.loop.now
+        refused = self.levels.refuse(request, now)
+        if refused is not None:
+            # The caller is told what its daemon knows, without a hop.
+            load = messages.Load(
+                below=self.levels.level(request.service, request.call, now, request)
+            )
+            reply(refuse_decided(request, refused, False)._replace(load=load))
+            return
+        endpoints = self.mesh.find_endpoints(request.service)
+        choice = self.placement.choose(request, endpoints, now, tried)
         if choice.endpoint is None:
             reply(refuse(request, messages.Reason.NO_ENDPOINT))
             return
         daemon = choice.endpoint.daemon
-        attempt = request._replace(attempt=self.mesh.next_attempt())
-        sent = loop.now
-        self.placement.start(daemon, sent)
+        attempt = self.mesh.next_attempt()
+        granted = self.ledger.grant(holder, attempt)
+        sent = request._replace(attempt=attempt, budget=granted)
+        self.placement.start(daemon, now)
 
         def take(answer):
-            now = loop.now
-            self.placement.observe(daemon, answer, now - sent, now)
-            self.levels.learn(service, request.call, answer.load, now, request)
-            if self._may_retry(request, answer):
-                self.call(request, factor, reply, tried | {daemon})
+            self._observe(daemon, sent, answer, now)
+            delay = self._decide_retry(sent, answer, holder, tries)
+            if delay is None:
+                reply(answer)
                 return
-            reply(answer)
+            again = request, factor, holder, reply, tries + 1, tried | {daemon}
+            self.mesh.loop.call_later(delay, self.call, *again)
 
         guard = self.mesh.gates[daemon]
-        loop.call_later(NETWORK_SECONDS, guard.handle, attempt, factor, take)
-
-    def _may_retry(self, request, answer):
-        """Stand-in for the retry module: one ledger for each root."""
-        failed = answer.outcome is messages.Outcome.NOT_RUN or answer.status >= 500
-        if not failed or answer.deeper:
-            return False
-        if self.mesh.loop.now >= request.deadline:
-            return False
-        retries = self.mesh.ledger.retries
-        if retries[request.root] >= RETRY_BUDGET:
-            return False
-        retries[request.root] += 1
-        return True
+        self.mesh.loop.call_later(NETWORK_SECONDS, guard.handle, sent, factor, take)
+
+    def _observe(self, daemon, sent, answer, began):
+        now = self.mesh.loop.now
+        self.placement.observe(daemon, answer, now - began, now)
+        self.levels.learn(sent.service, sent.call, answer.load, now, sent)
+
+    def _decide_retry(self, sent, answer, holder, tries):
+        """Settle the budget; return the delay before a retry, or None."""
+        self.ledger.give_back(sent.attempt, answer.unused)
+        remaining = self.ledger.get_remaining(holder)
+        now = self.mesh.loop.now
+        decision = retries.decide_retry(
+            sent, answer, remaining, tries, now, self._random
+        )
+        if decision.again and self.ledger.take(holder):
+            return decision.delay
+        return None
 
 
 class Guard:
@@ -272,7 +286,7 @@
     def handle(self, request, factor, reply):
         """Take an attempt that another daemon sent."""
         now = self.mesh.loop.now
-        refused = self.caller.levels.refuse(request, now)
+        refused = self.caller.levels.refuse_below(request, now)
         if refused is not None:
             self._answer(refuse_decided(request, refused, True), request, reply)
             return
@@ -308,6 +322,7 @@
     def _run(self, request, factor, reply):
         began = self.mesh.loop.now
         loads = []
+        self.caller.ledger.open(request.attempt, request.budget, request.deadline)
 
         def nested(done):
             self._call_legs(request, factor, loads, done)
@@ -332,14 +347,14 @@
 
         for leg in legs:
             via = request.via + (request.service,)
-            self.caller.call(request._replace(service=leg, via=via), factor, take)
+            call = request._replace(service=leg, via=via)
+            self.caller.call(call, factor, request.attempt, take)
 
     def _finish(self, request, began, status, loads, reply):
         now = self.mesh.loop.now
         if loads:
             below = max(max(load.level, load.below) for load in loads)
-            load = messages.Load(below=below)
-            self.caller.levels.learn(request.service, request.call, load, now, request)
+            self.caller.levels.learn_below(request, below, now)
         released = self.gate.finish(request.attempt, now, now - began, status == 200)
         for decision in released:
             self._apply(decision)
@@ -348,13 +363,14 @@
             request.attempt,
             messages.Outcome.COMPLETED,
             status=status,
+            unused=self.caller.ledger.close(request.attempt),
             deeper=status == 503,
         )
         self._answer(answer, request, reply)
 
     def _answer(self, answer, request, reply):
         now = self.mesh.loop.now
-        below = self.caller.levels.level(request.service, request.call, now, request)
+        below = self.caller.levels.below(request, now)
         load = self.gate.load(now, request)._replace(below=below)
         self.mesh.loop.call_later(NETWORK_SECONDS, reply, answer._replace(load=load))
 
@@ -387,12 +403,19 @@
             backend = Backend(self.loop, service, fault, rng, self.ledger)
             announced = max(1, round(service.slots * fault.lying))
             member = messages.Endpoint(daemon, "", service.name, zone, "r", announced)
-            members.append(member)
+            members.append((fault.joins, member))
             self.gates[daemon] = Guard(
                 self, f"{daemon}-{seed}", service, backend, announced, zone
             )
         self.endpoints[service.name] = tuple(members)
 
+    def find_endpoints(self, service):
+        """Return the endpoints of a service that have joined."""
+        now = self.loop.now
+        return tuple(
+            member for joins, member in self.endpoints[service] if joins <= now
+        )
+
     def next_attempt(self):
         """Return a new identifier of an attempt."""
         return str(next(self._attempts))
@@ -400,11 +423,15 @@
     def ask(self, request, factor, entry, reply):
         """Take a request of an outside caller at one entry."""
         caller = self.entries[entry % len(self.entries)]
-        refused = caller.levels.refuse(request, self.loop.now)
-        if refused is not None:
-            reply(refuse_decided(request, refused, True))
-            return
-        caller.call(request, factor, reply)
+        holder = request.attempt
+        caller.ledger.open(holder, RETRY_BUDGET, request.deadline)
+
+        def take(answer):
+            caller.ledger.close(holder)
+            caller.ledger.expire(self.loop.now)
+            reply(answer)
+
+        caller.call(request, factor, holder, take)
 
 
 class Baseline:
@@ -438,6 +465,11 @@
             BASELINE_RETRIES,
         )
 
+    def _choose(self, service):
+        now = self.loop.now
+        backends = self._backends[service]
+        return self._rng.choice([b for b in backends if b.fault.joins <= now])
+
     def _call(self, request, factor, reply, retries):
         settled = []
 
@@ -450,7 +482,7 @@
             else:
                 self._call(request, factor, reply, retries - 1)
 
-        backend = self._rng.choice(self._backends[request.service])
+        backend = self._choose(request.service)
 
         def nested(done):
             self._call_legs(request, factor, done)
--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -27,20 +27,25 @@
 DECAY_SECONDS = 0.5
 # As many answers as a handful of endpoints give in a few rounds.
 SAMPLES = 8
-MOST_FLOWS = 2048
+MOST_TRACKS = 2048
 # Endpoints of one service differ by chance in the level that they tell; answers
 # further apart than this are of flows that are treated differently.
 SPREAD = 0.3
+PASSED_MARGIN = 0.2
 
 
 class Track:
     """What the answers of one flow lately said."""
 
+    __slots__ = ("_levels", "_lowest", "_spread", "interval", "smooth", "time")
+
     def __init__(self):
         self.interval = HOLD_MOST / HOLD_INTERVALS
         self.smooth = 0.0
         self.time = None
-        self._samples = collections.deque(maxlen=SAMPLES)
+        self._levels = collections.deque(maxlen=SAMPLES)
+        self._lowest = 0.0
+        self._spread = 0.0
 
     def learn(self, level, now):
         """Take the level that one answer told."""
@@ -51,22 +56,21 @@
             weight = max(1.0 / SAMPLES, min(1.0, elapsed / HOLD_LEAST))
         self.smooth += weight * (level - self.smooth)
         self.time = now
-        self._samples.append((now, level))
+        self._levels.append(level)
+        self._lowest = min(self._levels)
+        self._spread = max(self._levels) - self._lowest
 
-    def level(self, now):
+    def mean(self, now):
         """Return the mean level told, decayed."""
         return self.smooth * self._keep(now)
 
     def lowest(self, now):
         """Return the lowest level told lately, decayed."""
-        return min(level for _, level in self._samples) * self._keep(now)
+        return self._lowest * self._keep(now) if self._lowest else 0.0
 
     def general(self, now):
         """Return the level that holds for flows of which nothing is known."""
-        told = [level for _, level in self._samples]
-        if max(told) - min(told) > SPREAD:
-            return self.lowest(now)
-        return self.level(now)
+        return self.lowest(now) if self._spread > SPREAD else self.mean(now)
 
     def _keep(self, now):
         hold = min(max(HOLD_INTERVALS * self.interval, HOLD_LEAST), HOLD_MOST)
@@ -75,7 +79,11 @@
 
 
 class Levels:
-    """Levels by service and call, and by flow within them."""
+    """Levels by service and call, and by flow within them.
+
+    Two sets: what callers of a service have to expect of it and all below it,
+    and, at the gatekeeper of a service, what its nested calls meet below.
+    """
 
     def __init__(self):
         self._tracks = collections.OrderedDict()
@@ -92,11 +100,21 @@
                 a hot caller or key off the others.
         """
         level = max(load.level, load.below)
-        for key in name_tracks(service, call, request):
-            self._find(key).learn(level, now)
+        self._learn(name_tracks("", service, call, request), level, now)
+
+    def learn_below(self, request, level, now):
+        """Take, at a gatekeeper, the highest level that nested calls met.
+
+        Args:
+            request: The request that made the nested calls.
+            level: Highest level told by their answers.
+            now: Time of the loop's clock in seconds.
+        """
+        keys = name_tracks("below", request.service, request.call, request)
+        self._learn(keys, level, now)
 
     def level(self, service, call, now, request=None):
-        """Return the level below which a request would be refused deeper.
+        """Return the level below which a request would be refused.
 
         Args:
             service: The service to be called.
@@ -108,45 +126,77 @@
             From 0 (admits all) to 4, to be compared with
             `messages.rank_request`.
         """
-        if request is None:
-            track = self._tracks.get((service, call, "", ""))
-            return track.level(now) if track else 0.0
-        keys = name_tracks(service, call, request)
-        tracks = [self._tracks[key] for key in keys if key in self._tracks]
-        if not tracks:
-            return 0.0
-        # A flow is refused above the others' level only if all its answers say
-        # so: a caller that asks for a hot key may ask for others too.
-        general = tracks[0].general(now)
-        return max([general, *(track.lowest(now) for track in tracks[1:])])
+        return self._level(name_tracks("", service, call, request), now)
+
+    def below(self, request, now):
+        """Return, at a gatekeeper, the level that nested calls would meet.
+
+        It goes into `messages.Load.below` of every answer, also of refusals.
+        """
+        keys = name_tracks("below", request.service, request.call, request)
+        return self._level(keys, now)
 
     def refuse(self, request, now):
-        """Refuse a request that would be refused deeper, or return None."""
+        """Refuse a request that would be refused further on, or return None."""
         level = self.level(request.service, request.call, now, request)
-        rank = messages.rank_request(request)
-        if rank >= level:
-            return None
-        importance = int(request.importance)
-        pressure = min(1.0, level - importance)
-        pause = hints.choose_retry_after(pressure, request.attempt)
-        return gate.Decision(
-            request.attempt, gate.Verdict.REFUSE, messages.Reason.LEVEL, pause
-        )
+        return refuse_below(request, level)
+
+    def refuse_below(self, request, now):
+        """Refuse, at a gatekeeper, what its nested calls would be refused for."""
+        return refuse_below(request, self.below(request, now))
+
+    def _learn(self, keys, level, now):
+        for key in keys:
+            self._find(key).learn(level, now)
+
+    def _level(self, keys, now):
+        general = self._tracks.get(keys[0])
+        if general is None:
+            return 0.0
+        # A flow is refused above the others' level only if all its answers say
+        # so: a caller that asks for a hot key may ask for others too.
+        level = general.general(now)
+        for key in keys[1:]:
+            track = self._tracks.get(key)
+            if track is not None:
+                level = max(level, track.lowest(now))
+        return level
 
     def _find(self, key):
-        track = self._tracks.pop(key, None) or Track()
-        self._tracks[key] = track
-        if len(self._tracks) > MOST_FLOWS:
-            self._tracks.popitem(last=False)
+        track = self._tracks.get(key)
+        if track is None:
+            track = self._tracks[key] = Track()
+            if len(self._tracks) > MOST_TRACKS:
+                self._tracks.popitem(last=False)
+        else:
+            self._tracks.move_to_end(key)
         return track
 
 
-def name_tracks(service, call, request):
-    """Return the keys of the levels that concern a request."""
-    keys = [(service, call, "", "")]
+def refuse_below(request, level):
+    """Refuse a request whose rank is below a level, or return None.
+
+    Past the first service work has been done, and each hop sees the level a
+    little differently: a request let in at the entry would be lost if its rank
+    had to be above every one of them. There only what is clearly below goes.
+    """
+    if request.via:
+        level -= PASSED_MARGIN
+    if level <= 0.0 or messages.rank_request(request) >= level:
+        return None
+    pressure = min(1.0, level - int(request.importance))
+    pause = hints.choose_retry_after(pressure, request.attempt)
+    return gate.Decision(
+        request.attempt, gate.Verdict.REFUSE, messages.Reason.LEVEL, pause
+    )
+
+
+def name_tracks(side, service, call, request):
+    """Return the keys of the levels that concern a request, the general first."""
+    keys = [(side, service, call)]
     if request is not None and request.caller:
-        keys.append((service, call, "caller", request.caller))
+        keys.append((side, service, call, "caller", request.caller))
     if request is not None and request.path:
         path = request.path.partition("?")[0]
-        keys.append((service, call, "path", path))
+        keys.append((side, service, call, "path", path))
     return keys
