Pass levels up at once and let worked-for requests use the whole queue

Cause: after a surge the entry learnt the level of a service 16 deep only after 1.5 s, since each gatekeeper smoothed it once more, and before the first job had ended there was no level at all. A gate refused at half its queue what 15 hops had worked for.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -288,7 +288,7 @@
         now = self.mesh.loop.now
         refused = self.caller.levels.refuse_below(request, now)
         if refused is not None:
-            self._answer(refuse_decided(request, refused, True), request, reply)
+            self._refuse(refuse_decided(request, refused, True), request, reply)
             return
         self._waiting[request.attempt] = (request, factor, reply)
         self._apply(self.gate.offer(request, now))
@@ -301,7 +301,7 @@
         if decision.verdict is gate.Verdict.ADMIT:
             self._run(request, factor, reply)
         else:
-            self._answer(refuse_decided(request, decision, False), request, reply)
+            self._refuse(refuse_decided(request, decision, False), request, reply)
 
     def _check_expiry(self):
         expiry = self.gate.next_expiry()
@@ -352,8 +352,8 @@
 
     def _finish(self, request, began, status, loads, reply):
         now = self.mesh.loop.now
+        below = max((max(load.level, load.below) for load in loads), default=0.0)
         if loads:
-            below = max(max(load.level, load.below) for load in loads)
             self.caller.levels.learn_below(request, below, now)
         released = self.gate.finish(request.attempt, now, now - began, status == 200)
         for decision in released:
@@ -365,10 +365,11 @@
             status=status,
             unused=self.caller.ledger.close(request.attempt),
             deeper=status == 503,
+            load=self.gate.load(now, request)._replace(below=below),
         )
-        self._answer(answer, request, reply)
+        self.mesh.loop.call_later(NETWORK_SECONDS, reply, answer)
 
-    def _answer(self, answer, request, reply):
+    def _refuse(self, answer, request, reply):
         now = self.mesh.loop.now
         below = self.caller.levels.below(request, now)
         load = self.gate.load(now, request)._replace(below=below)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -66,6 +66,30 @@
         self._time = now
         self._time_sum = 0.0
         self._count = 0.0
+        self._starts = 0.0
+
+    def start(self, now):
+        """Note that a job has been admitted."""
+        self.in_service += 1
+        self._starts += now
+
+    def end(self, began):
+        """Note that a job admitted at `began` has left."""
+        self.in_service -= 1
+        self._starts -= began
+
+    def estimate_mean(self, now):
+        """Return the mean service time, also while few jobs have ended.
+
+        In a surge right after the start no job has ended yet, and without a
+        level until then every hop above works for what will be refused here.
+        The time spent so far for each job ended, or about to, is the estimate
+        that allows for jobs which have not ended.
+        """
+        if self._count >= self.in_service:
+            return self.mean
+        inside = self.in_service * now - self._starts
+        return (self._time_sum + inside) / (self._count + 1.0)
 
     @property
     def mean(self):
@@ -94,10 +118,11 @@
 
 
 class Running(NamedTuple):
-    """One attempt in service: its kind and lane."""
+    """One attempt in service: its kind, its lane and when it began."""
 
     kind: str
     lane: Lane
+    began: float
 
 
 class Gate:
@@ -160,7 +185,7 @@
             lane.observe(service_time, now)
             if lane is self._short:
                 self._limit.observe(service_time, len(self._running) + 1, now)
-        lane.in_service -= 1
+        lane.end(running.began)
         return self._admit_waiting(now)
 
     def withdraw(self, attempt, now):
@@ -266,17 +291,18 @@
 
     def _admit(self, request, lane, now):
         kind = fairness.name_kind(request)
-        self._running[request.attempt] = Running(kind, lane)
-        lane.in_service += 1
+        self._running[request.attempt] = Running(kind, lane, now)
+        lane.start(now)
         self._durations.start(kind, now)
         return Decision(request.attempt, Verdict.ADMIT)
 
     def _enqueue(self, request, lane, rank, now):
         most = waiting.choose_length(lane.capacity, REACTION_SECONDS)
         level = lane.shares.level(request)
-        # What the entries would refuse may use a free slot or the lower half of
-        # the queue, never push out what they let pass.
-        if rank < level and len(lane.queue) >= most // 2:
+        # What the entries would refuse, and no backend server has worked for,
+        # may use a free slot or the first half of the queue and no more.
+        is_new = not request.via
+        if is_new and rank < level and len(lane.queue) >= most // 2:
             return self._refuse(request, lane, self._name_reason(request, lane), now)
         if len(lane.queue) >= most:
             return self._displace(request, lane, rank, now)
@@ -352,9 +378,10 @@
 
     def _update(self, lane, slots, elapsed, now):
         """Set the levels of a lane from its capacity and its queue."""
-        if lane.mean <= 0.0:
+        mean = lane.estimate_mean(now)
+        if mean <= 0.0:
             return
-        lane.capacity = slots / lane.mean
+        lane.capacity = slots / mean
         length = waiting.choose_length(lane.capacity, REACTION_SECONDS)
         excess = lane.in_service + len(lane.queue) - slots
         error = length / 2.0 - max(excess, -length / 2.0)
