Compare flows by their margin and hold levels by caller and key together

Cause: a hot caller cut to a twentieth sends only its highest ranks, which pushed the others out of full queues; an entry that heard mostly from the hot caller held its level against the others; the mean service time of the first jobs to end was too short by 15 %.

--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -16,7 +16,7 @@
 from . import admission
 
 FORGET_SECONDS = 2.0
-REGROUP_SECONDS = 0.25
+REGROUP_SECONDS = 0.1
 MOST_FLOWS = 256
 MOST_HOT = 16
 # A flow is hot from three times the mean of the quieter half: at twice, chance
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -79,17 +79,16 @@
         self._starts -= began
 
     def estimate_mean(self, now):
-        """Return the mean service time, also while few jobs have ended.
+        """Return the mean service time, allowing for jobs that haven't ended.
 
-        In a surge right after the start no job has ended yet, and without a
-        level until then every hop above works for what will be refused here.
-        The time spent so far for each job ended, or about to, is the estimate
-        that allows for jobs which have not ended.
+        Of jobs that began together the short ones end first. Their mean alone
+        would show too much capacity for seconds after a surge, and none at all
+        until the first has ended. So the time spent so far counts too, and each
+        job inside counts as half ended.
         """
-        if self._count >= self.in_service:
-            return self.mean
         inside = self.in_service * now - self._starts
-        return (self._time_sum + inside) / (self._count + 1.0)
+        ended = self._count + 0.5 * self.in_service
+        return (self._time_sum + inside) / ended if ended > 0.0 else 0.0
 
     @property
     def mean(self):
@@ -320,8 +319,16 @@
         The one that waits can't be answered from here: it is marked as expired,
         so that the caller's next `expire` refuses it at once.
         """
-        lowest = lane.queue.find_lowest()
-        if lowest.rank >= rank:
+
+        def measure(waiter):
+            level = lane.shares.level(waiter.request)
+            return waiting.measure_margin(waiter.rank, level)
+
+        lowest = lane.queue.find_lowest(measure)
+        level = lane.shares.level(request)
+        margin = waiting.measure_margin(rank, level)
+        ahead = int(lowest.rank) >= int(rank) and measure(lowest) >= margin
+        if int(lowest.rank) > int(rank) or ahead:
             return self._refuse(request, lane, messages.Reason.QUEUE, now)
         lane.queue.remove(lowest.request.attempt)
         self._displaced.append((lowest.request, lane))
--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -27,54 +27,53 @@
 DECAY_SECONDS = 0.5
 # As many answers as a handful of endpoints give in a few rounds.
 SAMPLES = 8
-MOST_TRACKS = 2048
-# Endpoints of one service differ by chance in the level that they tell; answers
-# further apart than this are of flows that are treated differently.
-SPREAD = 0.3
+MOST_TRACKS = 4096
+# Long enough to hear of flows that give one answer in a hundred.
+LOWEST_SECONDS = 1.0
+# More than chance makes the levels at two hops differ.
 PASSED_MARGIN = 0.2
 
 
 class Track:
     """What the answers of one flow lately said."""
 
-    __slots__ = ("_levels", "_lowest", "_spread", "interval", "smooth", "time")
+    __slots__ = ("_interval", "_lowest", "_mean", "_time")
 
     def __init__(self):
-        self.interval = HOLD_MOST / HOLD_INTERVALS
-        self.smooth = 0.0
-        self.time = None
-        self._levels = collections.deque(maxlen=SAMPLES)
-        self._lowest = 0.0
-        self._spread = 0.0
+        self._interval = HOLD_MOST / HOLD_INTERVALS
+        self._mean = 0.0
+        self._time = None
+        self._lowest = collections.deque()
 
     def learn(self, level, now):
         """Take the level that one answer told."""
         weight = 1.0
-        if self.time is not None:
-            elapsed = now - self.time
-            self.interval += (min(elapsed, HOLD_MOST) - self.interval) / SAMPLES
+        if self._time is not None:
+            elapsed = now - self._time
+            self._interval += (min(elapsed, HOLD_MOST) - self._interval) / SAMPLES
             weight = max(1.0 / SAMPLES, min(1.0, elapsed / HOLD_LEAST))
-        self.smooth += weight * (level - self.smooth)
-        self.time = now
-        self._levels.append(level)
-        self._lowest = min(self._levels)
-        self._spread = max(self._levels) - self._lowest
+        self._mean += weight * (level - self._mean)
+        self._time = now
+        # Ascending in time and level, so the first is the lowest that counts.
+        lowest = self._lowest
+        while lowest and lowest[-1][1] >= level:
+            lowest.pop()
+        while lowest and lowest[0][0] < now - LOWEST_SECONDS:
+            lowest.popleft()
+        lowest.append((now, level))
 
     def mean(self, now):
         """Return the mean level told, decayed."""
-        return self.smooth * self._keep(now)
+        return self._mean * self.keep(now)
 
     def lowest(self, now):
         """Return the lowest level told lately, decayed."""
-        return self._lowest * self._keep(now) if self._lowest else 0.0
+        return self._lowest[0][1] * self.keep(now)
 
-    def general(self, now):
-        """Return the level that holds for flows of which nothing is known."""
-        return self.lowest(now) if self._spread > SPREAD else self.mean(now)
-
-    def _keep(self, now):
-        hold = min(max(HOLD_INTERVALS * self.interval, HOLD_LEAST), HOLD_MOST)
-        over = now - self.time - hold
+    def keep(self, now):
+        """Return how much of a level is left, from 1 for fresh to 0."""
+        hold = min(max(HOLD_INTERVALS * self._interval, HOLD_LEAST), HOLD_MOST)
+        over = now - self._time - hold
         return min(1.0, max(0.0, 1.0 - over / DECAY_SECONDS))
 
 
@@ -150,17 +149,21 @@
             self._find(key).learn(level, now)
 
     def _level(self, keys, now):
+        if len(keys) == 1:
+            track = self._tracks.get(keys[0])
+            return track.mean(now) if track else 0.0
+        track = self._tracks.get(keys[-1])
+        if track is not None and track.keep(now) > 0.0:
+            return track.mean(now)
+        # Nothing is known of this caller and key together. One of them may be
+        # hot and give most answers, so the lowest level told counts: refused
+        # for a hot caller's level, another would never learn its own.
+        tracks = [self._tracks[key] for key in keys[1:-1] if key in self._tracks]
+        told = [track.lowest(now) for track in tracks if track.keep(now) > 0.0]
+        if told:
+            return max(told)
         general = self._tracks.get(keys[0])
-        if general is None:
-            return 0.0
-        # A flow is refused above the others' level only if all its answers say
-        # so: a caller that asks for a hot key may ask for others too.
-        level = general.general(now)
-        for key in keys[1:]:
-            track = self._tracks.get(key)
-            if track is not None:
-                level = max(level, track.lowest(now))
-        return level
+        return general.lowest(now) if general else 0.0
 
     def _find(self, key):
         track = self._tracks.get(key)
@@ -192,11 +195,17 @@
 
 
 def name_tracks(side, service, call, request):
-    """Return the keys of the levels that concern a request, the general first."""
+    """Return the keys of the levels that concern a request.
+
+    The first is that of all requests, the last that of the request's own flow;
+    between them stand the caller's and the path's, where there are both.
+    """
     keys = [(side, service, call)]
-    if request is not None and request.caller:
+    if request is None:
+        return keys
+    path = request.path.partition("?")[0]
+    keys.append((side, service, call, "path", path))
+    if request.caller:
         keys.append((side, service, call, "caller", request.caller))
-    if request is not None and request.path:
-        path = request.path.partition("?")[0]
-        keys.append((side, service, call, "path", path))
+    keys.append((side, service, call, request.caller, path))
     return keys
--- a/whinwinch/waiting.py
+++ b/whinwinch/waiting.py
@@ -6,7 +6,7 @@
 request waits until its caller has given up, and the work is wasted.
 
 Order of service: importance, then time of arrival. Order of dropping: lowest
-rank first, which is the hash order that all hops share. Arrival order within
+importance first, then by the hash that all hops share. Arrival order within
 one importance keeps waits even: strict rank order would leave the lowest to
 wait until their deadlines and be refused late.
 """
@@ -70,12 +70,17 @@
         """Return the importance of the waiter to be served next, or None."""
         return max((key for key, ws in self._classes.items() if ws), default=None)
 
-    def find_lowest(self):
-        """Return the waiter with the lowest rank, or None."""
+    def find_lowest(self, measure):
+        """Return the waiter to be dropped first, or None.
+
+        Args:
+            measure: Function from a waiter to its margin; of the lowest
+                importance the waiter with the smallest margin is dropped.
+        """
         for importance in sorted(self._classes):
             waiters = self._classes[importance]
             if waiters:
-                return min(waiters.values(), key=lambda waiter: waiter.rank)
+                return min(waiters.values(), key=measure)
         return None
 
     def count_ahead(self, importance):
@@ -108,6 +113,17 @@
         )
 
 
+def measure_margin(rank, level):
+    """Return how far a rank is above the level of its flow.
+
+    A hot flow that is cut to a twentieth sends only its highest ranks; compared
+    by rank they would push out every other flow. Measured from the level of the
+    flow, as a share of what the level lets pass, all flows are even.
+    """
+    top = int(rank) + 1
+    return (rank - level) / (top - level) if level < top else -1.0
+
+
 def choose_length(rate, reaction):
     """Return how many requests may wait.
 
