--- a/demo/report.py
+++ b/demo/report.py
@@ -73,7 +73,7 @@
     sent = [each for result in results for each in result.sent]
     late = sum(result.late > LATE for result in results)
     whole = [result.latency for result in results if judge_result(result) == "whole"]
-    reasons = Counter(each.reason for each in sent if each.reason)
+    reasons = Counter(each.reason for each in sent if each.reason not in ("", "none"))
     listed = ", ".join(f"{name} {count}" for name, count in reasons.most_common(6))
     lines = [
         f"  sent {len(sent)} times; most retries caused by one request: "
