--- a/bench/latency.py
+++ b/bench/latency.py
@@ -89,6 +89,7 @@
     parser.add_argument("--rate", type=float, default=RATE, help="calls a second")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--only", choices=("daemons", "layers"))
+    parser.add_argument("--case", choices=[case.name for case in CASES])
     options = parser.parse_args(arguments)
     with (
         tempfile.TemporaryDirectory(prefix="whinwinch-bench-") as directory,
@@ -115,7 +116,8 @@
     idle = measure_idle(daemon)
     print_row(f"{options.rate:.0f} calls/s", "median ms", "p99 ms", "calls", "bad")
     for case in CASES:
-        measure_case(case, nodes, options)
+        if options.case in (None, case.name):
+            measure_case(case, nodes, daemon, options)
     print_row("a daemon", "MiB resident", "% of a core")
     print_row("idle", f"{idle.resident:.1f}", f"{idle.processor:.2f}")
     print_row("after the load", f"{read_usage(daemon).resident:.1f}", "")
@@ -144,7 +146,7 @@
     return Usage(int(resident) / 1024, sum(times) / 1e9)
 
 
-def measure_case(case, nodes, options):
+def measure_case(case, nodes, daemon, options):
     """Play a case with and without daemons in turns and print both."""
     by_service = {node.service.name: node for node in nodes}
     backend = by_service[case.request.service].backend_url
@@ -154,15 +156,20 @@
         "daemons": caller.build_sender([entry]),
     }
     sent = {name: [] for name in senders}
+    taken = 0.0
     for turn in range(TURNS + 1):
         requests = schedule_calls(case.request, options, turn)
         for name, send in senders.items():
             threads = CALLERS_THREADS
+            before = read_usage(daemon).processor
             results = caller.play(requests, send, caller.Retry.NONE, threads)
             # The first turn opens connections and warms both sides up.
             if turn:
                 sent[name] += [result.last for result in results]
+                taken += read_usage(daemon).processor - before
     print_comparison(case.name, sent["direct"], sent["daemons"])
+    each = 1000 * taken / len(sent["daemons"])
+    print_row(f"{case.name} processor", f"{each:.2f}", "ms a call")
 
 
 def schedule_calls(request, options, turn):
