--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -25,6 +25,7 @@
 Grounds for the figures in `Settings` stand with them.
 """
 
+import collections
 import math
 from typing import NamedTuple
 
@@ -95,6 +96,9 @@
 RECONNECT_PROBES = 8
 # Members of a region that is forgotten whose addresses are kept.
 REMEMBERED_ENDPOINTS = 8
+# Joins are counted over so many seconds, up to so many.
+RECENT = 60.0
+MOST_JOINS = 1000
 # A planning call that comes so many intervals late means that this daemon was
 # paused; what it holds against others is worth nothing then.
 PAUSED_INTERVALS = 5
@@ -185,6 +189,7 @@
         self._regions_heard = {}
         self._region_misses = {}
         self._lost_regions = {}
+        self._joins = collections.deque(maxlen=MOST_JOINS)
         self._contacts = {}
         self._digest_cursor = random.randrange(membertable.BUCKETS)
         self._next_page = 0
@@ -255,6 +260,12 @@
         self._random.shuffle(remembered)
         return tuple(present + remembered)
 
+    def count_joins(self, now):
+        """Count the members that joined within the last minute."""
+        while self._joins and now - self._joins[0] > RECENT:
+            self._joins.popleft()
+        return len(self._joins)
+
     # News.
 
     def announce(self, service, slots, leaving, now):
@@ -413,7 +424,10 @@
         room = min(self.settings.message_bytes, self._rumour_budget.find_left(now))
         chosen = []
         addressee = self._table.get(about)
-        if addressee is not None and addressee.state in (State.SUSPECT, State.GONE):
+        if about and (addressee is None or addressee.version == 0):
+            # Whoever isn't known here hardly knows this daemon either.
+            chosen.append(self._own)
+        elif addressee and addressee.state in (State.SUSPECT, State.GONE):
             chosen.append(addressee)
         self._add_rumours(chosen, room)
         self._rumour_budget.spend(sum(map(estimate_bytes, chosen)))
@@ -500,7 +514,10 @@
         if spread:
             self._rumours[daemon] = 0
         joined = known is None or known.state is State.GONE
-        return Change(member, joined and member.state is not State.GONE)
+        joined = joined and member.state is not State.GONE
+        if joined and spread:
+            self._joins.append(now)
+        return Change(member, joined)
 
     def _contradict(self, member):
         """Raise the own version above whatever is held against this daemon.
