--- a/test/logservice/test_relay.py
+++ b/test/logservice/test_relay.py
@@ -84,10 +84,13 @@
         old = FakeConfiguration()
         old.store._limit = 3
         old.relay.take(records)
-        newcomer = FakeConfiguration()
         for _ in range(3):
-            newcomer.relay.take(old.relay.give(newcomer.offset))
-        self.assertEqual(newcomer.offset, 5)
+            newcomer = FakeConfiguration()
+            for _ in range(3):
+                newcomer.relay.take(old.relay.give(newcomer.offset))
+            self.assertEqual(newcomer.offset, 5)
+            # The next one gets it from this one.
+            old = newcomer
 
     def test_store_gives_nothing_after_a_gap(self):
         store = relay.RecordStore(find_covered, limit=3)
--- a/whinwinch/logservice/relay.py
+++ b/whinwinch/logservice/relay.py
@@ -115,17 +115,34 @@
         self._covered = 0
 
     def add(self, record):
-        """Keep a record that has been applied."""
+        """Keep a record that has been applied.
+
+        The records kept have no gap. A snapshot that was taken in out of turn
+        is kept beside them, and what was kept before it is dropped: the
+        records that it doesn't cover come next, and a peer that got the
+        snapshot without them would be stuck.
+        """
         covered = self._find_covered(record.data)
         if covered is not None and covered >= self._covered:
             self._snapshot, self._covered = record, covered
-        if self._records and record.offset <= self._records[-1].offset:
+        wanted = self._records[-1].offset + 1 if self._records else None
+        if covered is not None and record.offset != wanted:
+            if wanted is None or covered > wanted:
+                self._clear()
+            return
+        if wanted is not None and record.offset < wanted:
             return
+        if wanted is not None and record.offset > wanted:
+            self._clear()
         self._records.append(record)
         self._size += len(record.data)
         while self._is_droppable(self._records[0]):
             self._size -= len(self._records.pop(0).data)
 
+    def _clear(self):
+        self._records.clear()
+        self._size = 0
+
     def records_from(self, offset):
         """Return what brings somebody up to date who has all before `offset`.
 
