--- a/test/clocks.py
+++ b/bench/clocks.py
@@ -19,13 +19,14 @@
 
 
 class JumpingLoop(asyncio.SelectorEventLoop):
-    """Event loop for tests that need no sockets and no threads."""
+    """Event loop for work that needs no sockets and no threads."""
 
     def __init__(self):
         self._jumping = _JumpingSelector()
         super().__init__(self._jumping)
 
     def time(self):
+        """Return the seconds that have passed on this clock."""
         return self._jumping.now
 
 
--- a/test/daemons/test_gossip.py
+++ b/test/daemons/test_gossip.py
@@ -4,79 +4,18 @@
 import random
 import unittest
 
-from bench import rounds
-from test import clocks
+from bench import clocks, rounds
+from bench.network import Network, wait_for
 from test.logservice.test_relay import FakeConfiguration, build_records
 from whinwinch import membership, membertable
 from whinwinch.daemons import gossip, peer_pb2
 from whinwinch.membertable import Member, State
 
 
-class Network:
-    """Daemons by address; messages are copied as the wire would."""
-
-    def __init__(self, reaches=lambda sender, receiver: True):
-        self.daemons = {}
-        self.configurations = {}
-        self.reaches = reaches
-        self.largest = 0
-
-    def add(self, endpoint):
-        members = membership.Membership(endpoint, random.Random(endpoint.daemon))
-        configuration = FakeConfiguration()
-
-        async def send(address, message):
-            return await self.deliver(endpoint, address, message)
-
-        daemon = gossip.build_gossip(members, configuration.relay, send)
-        self.daemons[endpoint.address] = daemon
-        self.configurations[endpoint.address] = configuration
-        return daemon
-
-    def lives(self, endpoint):
-        present = self.daemons.get(endpoint.address)
-        return present and present.members.own.endpoint.daemon == endpoint.daemon
-
-    async def deliver(self, sender, address, message):
-        await asyncio.sleep(0.01)
-        receiver = self.daemons.get(address)
-        if receiver is None or not self.lives(sender):
-            raise gossip.SendError("no connection")
-        if not self.reaches(sender.address, address):
-            raise gossip.SendError("no connection")
-        data = message.SerializeToString()
-        copy = peer_pb2.GossipMessage.FromString(data)
-        answer = await gossip.answer_gossip(receiver, copy)
-        await asyncio.sleep(0.01)
-        if not self.reaches(address, sender.address):
-            raise gossip.SendError("no answer")
-        self.largest = max(self.largest, len(data), answer.ByteSize())
-        return peer_pb2.GossipAnswer.FromString(answer.SerializeToString())
-
-
-async def run_network(network, steps):
-    """Run all daemons' tasks while `steps` (a coroutine) runs."""
-    tasks = [
-        asyncio.create_task(gossip.run_gossip(daemon, random.Random(number)))
-        for number, daemon in enumerate(network.daemons.values())
-    ]
-    try:
-        await steps
-        assert not any(task.done() for task in tasks), tasks
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-async def wait_for(condition, seconds=200.0):
-    """Wait until a condition holds, for so many seconds at most."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while not condition():
-        if loop.time() > end:
-            raise AssertionError(f"not within {seconds} s")
-        await asyncio.sleep(0.1)
+def add_daemon(network, endpoint):
+    members = membership.Membership(endpoint, random.Random(endpoint.daemon))
+    configuration = FakeConfiguration()
+    return network.add(members, configuration.relay)
 
 
 def build_network(count, reaches=lambda sender, receiver: True):
@@ -84,7 +23,7 @@
     network = Network(reaches)
     endpoints = [rounds.build_endpoint(i, 3, 1, 4) for i in range(count)]
     for endpoint in endpoints:
-        daemon = network.add(endpoint)
+        daemon = add_daemon(network, endpoint)
         daemon.members.load_join(endpoints[0])
     return network, endpoints
 
@@ -94,9 +33,8 @@
         async def main():
             network, _ = build_network(8)
             daemons = network.daemons.values()
-            await run_network(
-                network,
-                wait_for(lambda: {len(d.members) for d in daemons} == {8}),
+            await network.run(
+                wait_for(lambda: {len(d.members) for d in daemons} == {8})
             )
             self.assertLess(network.largest, 4096)
 
@@ -118,7 +56,7 @@
 
         async def main():
             network, _ = build_network(12, lambda a, b: source.random() > 0.1)
-            await run_network(network, steps(network))
+            await network.run(steps(network))
 
         clocks.run_jumping(main())
 
@@ -132,11 +70,9 @@
         async def main():
             network, endpoints = build_network(3)
             for endpoint in endpoints[:2]:
-                network.configurations[endpoint.address].relay.take(records)
+                network.daemons[endpoint.address].relay.take(records)
             newcomer = network.daemons[endpoints[2].address]
-            await run_network(
-                network, wait_for(lambda: newcomer.relay.offset == len(records))
-            )
+            await network.run(wait_for(lambda: newcomer.relay.offset == len(records)))
             self.assertLess(network.largest, 80_000)
 
         clocks.run_jumping(main())
@@ -157,7 +93,7 @@
                     )
                 )
 
-            await run_network(network, steps())
+            await network.run(steps())
 
         clocks.run_jumping(main())
 
@@ -185,7 +121,7 @@
                 cut.clear()
                 await wait_for(lambda: {len(d.members) for d in daemons} == {6})
 
-            await run_network(network, steps())
+            await network.run(steps())
 
         clocks.run_jumping(main())
 
@@ -198,7 +134,7 @@
                 await wait_for(lambda: {len(d.members) for d in daemons} == {4})
                 former = endpoints[2]
                 successor = former._replace(daemon="f" * 32, service="archive")
-                network.add(successor)
+                add_daemon(network, successor)
                 await wait_for(
                     lambda: all(
                         d.members.get(former.daemon).state is State.GONE
@@ -208,7 +144,7 @@
                     15.0,
                 )
 
-            await run_network(network, steps())
+            await network.run(steps())
 
         clocks.run_jumping(main())
 
--- a/test/logservice/test_follower.py
+++ b/test/logservice/test_follower.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from test import clocks
+from bench import clocks
 from test.logservice.test_relay import FakeConfiguration, build_records
 from whinwinch.logservice import client, follower
 
--- a/test/logservice/test_joining.py
+++ b/test/logservice/test_joining.py
@@ -4,9 +4,9 @@
 import random
 import unittest
 
-from bench import rounds
-from test import clocks
-from test.daemons.test_gossip import Network, wait_for
+from bench import clocks, rounds
+from bench.network import Network, wait_for
+from test.daemons.test_gossip import add_daemon
 from test.logservice.test_follower import FakeLog
 from whinwinch.daemons import gossip
 from whinwinch.logservice import client, joining
@@ -24,7 +24,7 @@
 
 def start(network, log, number):
     """Start a numbered daemon; return it."""
-    daemon = network.add(rounds.build_endpoint(number, 3, 1, 4))
+    daemon = add_daemon(network, rounds.build_endpoint(number, 3, 1, 4))
     source = random.Random(number)
     task = asyncio.gather(
         gossip.run_gossip(daemon, source),
--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random as random_module
+import sys
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -135,12 +136,13 @@
 
 def _unpack_member(packed):
     state = membertable.State(packed.state)
+    # Thousands of members share a few names; each message brings new copies.
     endpoint = messages.Endpoint(
         daemon=packed.daemon,
         address=packed.address,
-        service=packed.service,
-        zone=packed.zone,
-        region=packed.region,
+        service=sys.intern(packed.service),
+        zone=sys.intern(packed.zone),
+        region=sys.intern(packed.region),
         slots=packed.slots,
         leaving=state is membertable.State.LEAVING,
     )
--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -170,13 +170,14 @@
         endpoint: This daemon.
         random: A `random.Random`.
         settings: Figures.
+        table: A `membertable.MemberTable` that is already known.
     """
 
-    def __init__(self, endpoint, random, settings=None):
+    def __init__(self, endpoint, random, settings=None, table=None):
         self.settings = settings or Settings()
         self._random = random
         self._own = Member(endpoint)
-        self._table = membertable.MemberTable()
+        self._table = table or membertable.MemberTable()
         self._rumours = {}
         self._partners = {}
         self._probe_order = []
--- a/whinwinch/membertable.py
+++ b/whinwinch/membertable.py
@@ -72,6 +72,17 @@
         """Count the members that aren't gone."""
         return self._present
 
+    def copy(self):
+        """Return a table of the same members that changes by itself."""
+        copied = MemberTable()
+        copied._buckets = [dict(bucket) for bucket in self._buckets]
+        copied._digests = list(self._digests)
+        copied._services = {name: dict(held) for name, held in self._services.items()}
+        copied._endpoints = dict(self._endpoints)
+        copied._cut_regions = self._cut_regions
+        copied._present = self._present
+        return copied
+
     def get(self, daemon):
         """Return the member of that identifier, or None."""
         return self._buckets[find_bucket(daemon)].get(daemon)
