--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import math
 import random
 import signal
@@ -35,8 +36,8 @@
 from .daemons import server as peer_server
 from .guarded import Guarded
 from .lifecycle import Phase, Way
-from .logservice import follower, joins, readers, relay, streams
-from .logservice.client import LogClient
+from .logservice import follower, joining, readers, relay, streams
+from .logservice.client import LogClient, LogUnavailable
 from .messages import Answer, Outcome, Reason
 from .operators import access, api
 from .operators.store import Store
@@ -44,6 +45,8 @@
 # Threads for what blocks in control: gossip sent, the log read and appended to.
 CONTROL_THREADS = 12
 GOSSIP_TIMEOUT = 3.0
+# A daemon that stops doesn't wait longer than this for the log.
+GOODBYE_SECONDS = 1.0
 LOG_POOL = 4
 SECONDS_TO_COME_BACK = 1.0
 
@@ -450,24 +453,48 @@
         for task in (
             gossip.run_gossip(talk),
             follow_configuration(parts, talk),
-            joins.run_joins(parts.members, parts.log, asyncio.to_thread),
+            joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
         )
     ]
     ending = asyncio.create_task(parts.control.run())
     done, _ = await asyncio.wait([*tasks, ending], return_when=asyncio.FIRST_COMPLETED)
+    if parts.control.phase is Phase.STOPPED:
+        await say_goodbye(parts, talk)
     for task in (*tasks, ending):
         task.cancel()
     for task in done:
         task.result()
 
 
-async def follow_configuration(parts, talk):
-    """Read the configuration from the log while it is this daemon's turn."""
+async def say_goodbye(parts, talk):
+    """Tell peers and the log that this daemon has gone, for a bounded time.
+
+    Peers would find out by their probes, some seconds later.
+    """
+    parts.members.leave(parts.loop.time())
+    talk.wake.set()
+    _, append = build_stream(parts, streams.MEMBERS)
+    with contextlib.suppress(TimeoutError, LogUnavailable):
+        async with asyncio.timeout(GOODBYE_SECONDS):
+            await joining.append_leave(append, parts.members, parts.loop.time())
+    await asyncio.sleep(gossip.PUSH_INTERVAL)
+
+
+def build_stream(parts, stream):
+    """Return awaitable functions that read and append to a stream of the log."""
 
     async def read(offset, limit, wait):
-        return await asyncio.to_thread(
-            parts.log.read, streams.CONFIGURATION, offset, limit, wait
-        )
+        return await asyncio.to_thread(parts.log.read, stream, offset, limit, wait)
+
+    async def append(data):
+        return await asyncio.to_thread(parts.log.append, stream, data)
+
+    return read, append
+
+
+async def follow_configuration(parts, talk):
+    """Read the configuration from the log while it is this daemon's turn."""
+    read, _ = build_stream(parts, streams.CONFIGURATION)
 
     def is_reader(now):
         return readers.is_reader(
