Don't take a predecessor's address for a peer or an endpoint

(1) The log names the predecessor at the daemon's own address; asked for the member list, the daemon answered itself with its empty one and called itself ready. (2) A gatekeeper that guards nothing answered no-endpoint, and the hop above did not try another endpoint. The test of refusals that no endpoint would take differently listed no-endpoint; as an answer of one gatekeeper it is of that endpoint only, so it now stands, as strictly, among those that are tried elsewhere at once. Readiness now waits for the member list too, or five seconds where there is nobody to give one.

--- a/test/daemons/test_gossip.py
+++ b/test/daemons/test_gossip.py
@@ -77,6 +77,24 @@
 
         clocks.run_jumping(main())
 
+    def test_a_successor_does_not_take_itself_for_a_peer(self):
+        """An instance is replaced at the same address.
+
+        The end of the log names its predecessor there, so that it asks itself
+        for the members. With its own empty list it believed itself ready, and
+        its callers were told "no-endpoint".
+        """
+
+        async def main():
+            network, endpoints = build_network(1)
+            successor = endpoints[0]._replace(daemon="f" * 32)
+            newcomer = add_daemon(network, successor)
+            newcomer.members.load_join(endpoints[0])
+            await network.run(wait_for(lambda: not newcomer.members.find_contacts()))
+            self.assertLess(newcomer.members.next_page, membertable.BUCKETS)
+
+        clocks.run_jumping(main())
+
     def test_dead_daemon_is_taken_out_by_helpers_word(self):
         async def main():
             network, endpoints = build_network(6)
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -121,6 +121,15 @@
         self.assertNotEqual(first[0], second[0])
         self.assertNotEqual(first[1].attempt, second[1].attempt)
 
+    def test_an_address_taken_over_by_another_daemon_is_tried_elsewhere(self):
+        """An instance was replaced, and peers still know its predecessor.
+
+        Whoever answers at the address now guards nothing, or another service.
+        The caller was told "no-endpoint" although three others were there.
+        """
+        routed = self.route(self.build(refuse(Reason.NO_ENDPOINT), complete))
+        self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
+
     def test_retries_stay_within_the_budget(self):
         """Every endpoint refuses, again and again.
 
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -19,6 +19,7 @@
     flight,
     levels,
     membership,
+    membertable,
     messages,
     metrics,
     placement,
@@ -47,6 +48,7 @@
 GOSSIP_TIMEOUT = 3.0
 # A daemon that stops doesn't wait longer than this for the log.
 GOODBYE_SECONDS = 1.0
+ALONE_SECONDS = 5.0
 LOG_POOL = 4
 SECONDS_TO_COME_BACK = 1.0
 
@@ -381,17 +383,43 @@
     return router.Routed(answer, incoming.identifier or attempt, 0)
 
 
+def build_readiness(parts):
+    """Return a function that says why callers should stay away, "" for nothing.
+
+    A daemon that takes callers before it knows the other daemons tells them
+    "no-endpoint" of services that are there; after the restart of a zone all
+    its callers would be told so.
+    """
+    configured = []
+
+    def find_obstacle():
+        if parts.control.phase is not Phase.SERVING:
+            return "leaving"
+        if not parts.store.ready:
+            return "no configuration read yet"
+        configured.append(parts.loop.time())
+        del configured[1:]
+        if parts.members.next_page >= membertable.BUCKETS:
+            return ""
+        # The only daemon of its mesh has nobody to get the list from.
+        if parts.loop.time() - configured[0] < ALONE_SECONDS:
+            return "no member list received yet"
+        return ""
+
+    return find_obstacle
+
+
 def build_probes(parts):
     """Return the health, readiness and metrics pages by path."""
+    find_obstacle = build_readiness(parts)
 
     def check_health():
         return "200 OK", "ok\n"
 
     def check_readiness():
-        if parts.control.phase is not Phase.SERVING:
-            return "503 Service Unavailable", "leaving\n"
-        if not parts.store.ready:
-            return "503 Service Unavailable", "no configuration read yet\n"
+        obstacle = find_obstacle()
+        if obstacle:
+            return "503 Service Unavailable", f"{obstacle}\n"
         return "200 OK", "ready\n"
 
     def render_metrics():
--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -349,8 +349,15 @@
     except SendError:
         gossip.members.missed(endpoint.daemon, _read_clock())
         return
-    page = membership.MemberPage(unpack_members(answer.members), answer.next_bucket)
     now = _read_clock()
+    if answer.sender == gossip.members.own.endpoint.daemon:
+        # The log still names the predecessor at this address. Taken for a
+        # peer's, its own empty list would seem complete, and callers would be
+        # told "no-endpoint" of services that are there.
+        gossip.members.load_leave(endpoint.daemon)
+        gossip.members.replace(endpoint.daemon, now)
+        return
+    page = membership.MemberPage(unpack_members(answer.members), answer.next_bucket)
     changes = gossip.members.take_page(page, now)
     gossip.members.heard(answer.sender, now)
     gossip.notify(changes)
--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -40,6 +40,7 @@
         Reason.QUEUE,
         Reason.DEADLINE,
         Reason.LEAVING,
+        Reason.NO_ENDPOINT,
         Reason.NOT_SENT,
         Reason.BROKEN,
         Reason.NONE,
@@ -47,7 +48,7 @@
 )
 
 # The endpoint is gone, not full: waiting before the try elsewhere gains nothing.
-GONE_REASONS = frozenset({Reason.LEAVING, Reason.NOT_SENT})
+GONE_REASONS = frozenset({Reason.LEAVING, Reason.NO_ENDPOINT, Reason.NOT_SENT})
 
 
 class RetryDecision(NamedTuple):
