Let the inferred demand fall while slots stand idle

Cause: above a high level so few requests arrive that the end of an overload shows in the count of arrivals only after a second.

--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -102,6 +102,11 @@
         self.advance(now)
         return [self._rate(index) for index in range(CLASSES)]
 
+    def shrink(self, factor):
+        """Scale down the demand inferred."""
+        for window in (self._short, self._long):
+            window.counts = [count * factor for count in window.counts]
+
     def split(self, share, now):
         """Hand a share of the demand over to a new group, and return that."""
         self.advance(now)
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -114,6 +114,14 @@
         demands = [self._rest, *self._hot.values()]
         return sum(sum(demand.rates(now)) for demand in demands)
 
+    def shrink(self, factor):
+        """Scale down the demand inferred of the flows that a level cuts."""
+        if self.rest_level > 0.0:
+            self._rest.shrink(factor)
+        for name, demand in self._hot.items():
+            if self._levels[name] > 0.0:
+                demand.shrink(factor)
+
     def update(self, capacity, now):
         """Set the levels so that what they admit fits a capacity.
 
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -21,6 +21,8 @@
 REACTION_SECONDS = 1.0
 CONTROL_SECONDS = 0.05
 MEAN_SECONDS = 5.0
+# Idle slots let the estimate of the demand fall by this time constant at most.
+IDLE_SECONDS = 0.1
 # The correction of the capacity takes several reaction times, so that it and
 # the correction of the queue don't swing against each other.
 TRIM_RATE = 0.1
@@ -393,5 +395,11 @@
         excess = lane.in_service + len(lane.queue) - slots
         error = length / 2.0 - max(excess, -length / 2.0)
         lane.trim(error / length, elapsed)
+        if excess < 0:
+            # Slots stand idle while a level keeps requests out: the demand is
+            # less than it was. So few arrive above a high level that counting
+            # them takes a second to show it, and callers are refused meanwhile.
+            idle = -excess / slots
+            lane.shares.shrink(math.exp(-idle * elapsed / IDLE_SECONDS))
         wanted = lane.capacity * lane.factor + error / REACTION_SECONDS
         lane.shares.update(max(wanted, 0.0), now)
