--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -9,7 +9,7 @@
 
 from whinwinch.messages import Importance
 
-from .fakes import Fault, Plan, Service, Stream
+from .fakes import NETWORK_SECONDS, Fault, Plan, Service, Stream
 
 # The narrowest service: 4 endpoints, 8 slots, 0.2 s of work each.
 SLOTS = 8
@@ -31,6 +31,20 @@
     return tuple(services)
 
 
+def find_capacity(services):
+    """Return the whole requests a second that the narrowest service carries.
+
+    A slot is held for the service's own work and for its nested calls.
+    """
+    by_name = {service.name: service for service in services}
+
+    def hold(service):
+        below = [hold(by_name[leg]) + 2.0 * NETWORK_SECONDS for leg in service.legs]
+        return service.work + max(below, default=0.0)
+
+    return min(each.slots * each.endpoints / hold(each) for each in services)
+
+
 def make_steady(rate, **more):
     """Return a stream of one rate."""
     return Stream(phases=((0.0, rate),), **more)
@@ -38,8 +52,9 @@
 
 def plan_overload(depth, factor, seconds, narrow=None, **more):
     """Demand above capacity, clients that retry hard."""
-    streams = (make_steady(CAPACITY * factor),)
-    return Plan(make_chain(depth, narrow), streams, seconds, **more)
+    services = make_chain(depth, narrow)
+    streams = (make_steady(find_capacity(services) * factor),)
+    return Plan(services, streams, seconds, **more)
 
 
 def plan_importance(factor, seconds, **more):
@@ -65,10 +80,10 @@
     return Plan(make_chain(3), tuple(streams), seconds, **more)
 
 
-def plan_endpoint(fault, seconds, **more):
+def plan_endpoint(fault, load, seconds, **more):
     """One of four endpoints in the middle of a chain differs from its peers.
 
-    Demand is 0.55 of what the four carry, so that three can carry it.
+    `load` is the demand as a share of what the four carry.
     """
     faults = ((1, fault),) if fault else ()
     services = (
@@ -76,8 +91,8 @@
         Service("s1", work=0.02, slots=8, legs=("s2",), faults=faults),
         Service("s2"),
     )
-    rate = 0.55 * ENDPOINTS * 8 / (0.02 + 0.009)
-    return Plan(services, (make_steady(rate),), seconds, **more)
+    streams = (make_steady(load * find_capacity(services)),)
+    return Plan(services, streams, seconds, **more)
 
 
 def plan_all_bad(seconds, **more):
@@ -139,12 +154,12 @@
 
 def plan_mesh(mesh, seconds, **more):
     """Five times the capacity of a user's narrowest service, then 0.7 of it."""
-    capacity = mesh.endpoints * mesh.slots / mesh.work
     wide = [
         Service(f"s{i}", slots=mesh.wide, endpoints=mesh.endpoints, legs=(f"s{i + 1}",))
         for i in range(3)
     ]
     narrow = Service("s3", mesh.work, mesh.slots, mesh.endpoints)
+    services = (*wide, narrow)
+    capacity = find_capacity(services)
     phases = ((0.0, capacity * 5.0), (seconds / 2.0, capacity * 0.7))
-    plan = Plan((*wide, narrow), (Stream(phases),), seconds, **more)
-    return plan, capacity
+    return Plan(services, (Stream(phases),), seconds, **more)
