--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,92 @@
+"""Tests of the inferred demand, the levels and the limit."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from whinwinch import admission
+
+RATES = st.lists(st.floats(0.0, 1000.0), min_size=4, max_size=4)
+
+
+class FindLevelsTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100)
+    @given(st.lists(RATES, min_size=1, max_size=5), st.floats(0.0, 3000.0))
+    def test_admits_what_fits_and_no_more(self, rates, capacity):
+        levels = admission.find_levels([(each, 1) for each in rates], capacity)
+        admitted = 0.0
+        for level, each in zip(levels, rates, strict=True):
+            for index, rate in enumerate(each):
+                admitted += rate * min(max(index + 1 - level, 0.0), 1.0)
+        wanted = sum(map(sum, rates))
+        self.assertAlmostEqual(admitted, min(wanted, capacity), places=3)
+
+    def test_important_is_cut_last(self):
+        (level,) = admission.find_levels([([100.0, 100.0, 0.0, 50.0], 1)], 100.0)
+        self.assertAlmostEqual(level, 1.5)
+
+    def test_hot_group_cannot_take_the_share_of_others(self):
+        """One caller of ten asks for twice the capacity.
+
+        A common level would refuse half of what the nine others ask.
+        """
+        others = [0.0, 45.0, 0.0, 0.0], 9
+        hot = [0.0, 200.0, 0.0, 0.0], 1
+        levels = admission.find_levels([others, hot], 100.0)
+        self.assertEqual(levels[0], 1.0)
+        self.assertAlmostEqual(levels[1], 2.0 - 55.0 / 200.0)
+
+
+class DemandTest(unittest.TestCase):
+    def test_sees_the_whole_demand_through_a_level(self):
+        rng = random.Random(3)
+        demand = admission.Demand(0.0)
+        now = 0.0
+        for _ in range(20000):
+            now += rng.expovariate(2000.0)
+            demand.note_level(1.8, now)
+            rank = 1.0 + rng.random()
+            if rank >= 1.8:
+                demand.record(rank, now)
+        self.assertAlmostEqual(demand.rates(now)[1], 2000.0, delta=200.0)
+
+    def test_notices_a_surge_within_a_quarter_of_a_second(self):
+        rng = random.Random(3)
+        demand = admission.Demand(0.0)
+        now = 0.0
+        while now < 5.25:
+            now += rng.expovariate(100.0 if now < 5.0 else 1000.0)
+            demand.record(1.0 + rng.random(), now)
+        self.assertGreater(demand.rates(now)[1], 400.0)
+
+
+class LimitTest(unittest.TestCase):
+    def observe(self, limit, real, windows, start=0.0):
+        """Keep the limit full; above `real` jobs share the backend server."""
+        now = start
+        for _ in range(windows * 4 * limit.slots):
+            busy = limit.value
+            time = 0.1 * max(1.0, busy / real)
+            now += time / busy
+            limit.observe(time, busy, now)
+        return now
+
+    def test_falls_when_more_work_brings_no_more_throughput(self):
+        """A backend server announces 40 slots and has turned slower.
+
+        Filled to the announced number it queues inside, where neither deadline
+        nor importance counts, and every answer comes late.
+        """
+        limit = admission.Limit(40)
+        now = self.observe(limit, 40.0, 3)
+        self.assertEqual(limit.value, 40)
+        self.observe(limit, 10.0, 60, now)
+        self.assertLess(limit.value, 25)
+
+    def test_comes_back_up_to_the_slots(self):
+        limit = admission.Limit(40)
+        limit.value = 10
+        self.observe(limit, 40.0, 40)
+        self.assertEqual(limit.value, 40)
--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -161,6 +161,7 @@
     STEP = 0.9
     LOSS = 0.95
     MOST_PAUSE = 64
+    FORGET_SECONDS = 1800.0
 
     def __init__(self, slots, now=None):
         self.slots = slots
@@ -197,8 +198,9 @@
         full = self._full > 0.8 * self._count
         # Forgets slowly, so that a service that has become slower for good
         # isn't held at a low limit for ever.
-        raised = mean if self._lowest is None else self._lowest * 1.01
-        self._lowest = min(mean, raised)
+        if self._lowest is not None:
+            self._lowest *= math.exp((now - self._start) / self.FORGET_SECONDS)
+        self._lowest = mean if self._lowest is None else min(mean, self._lowest)
         self._adapt(mean, throughput, full)
         self._start, self._count, self._time_sum, self._full = now, 0, 0.0, 0
 
