Grant retries by a service's habit of calling, tie ledger and configuration to models

So all goes down where calls go out in turn, half where they go out together, and the ledger learns which.

--- a/test/models/retry_model.py
+++ b/test/models/retry_model.py
@@ -11,7 +11,7 @@
 
 from minicheck import Protocol
 
-from whinwinch.retries import Ledger
+from whinwinch.retries import Ledger, Situation, grant_all
 
 ROOT = "r"
 FOREVER = 1.0
@@ -99,7 +99,7 @@
 
 def open_book(kind, book):
     """Return the ledger that a book stands for."""
-    ledger = kind()
+    ledger = kind(policy=grant_some)
     for attempt, held, closed in book.holdings:
         ledger.open(attempt, held, FOREVER)
         ledger._holdings[attempt].closed = closed
@@ -110,9 +110,14 @@
     return ledger
 
 
+def grant_some(situation: Situation):
+    """Grant half rounded up, so that the lowest daemon gets something."""
+    return (situation.held + 1) // 2
+
+
 def make_grant(holder, retries):
     """Return a grant as the ledger keeps it."""
-    ledger = Ledger(policy=lambda held: retries)
+    ledger = Ledger(policy=grant_all)
     ledger.open(holder, retries, FOREVER)
     ledger.grant(holder, "child")
     return ledger._grants["child"]
@@ -145,7 +150,7 @@
 
 def make_protocol(options, name="retries"):
     """Return the model as a `Protocol`."""
-    entry = options.ledger()
+    entry = open_book(options.ledger, Book())
     entry.open(ROOT, options.budget, FOREVER)
     return Protocol(
         name=name,
--- a/test/test_retries.py
+++ b/test/test_retries.py
@@ -99,13 +99,13 @@
 
 class LedgerTest(unittest.TestCase):
     def setUp(self):
-        self.ledger = retries.Ledger()
+        self.ledger = retries.Ledger(retries.grant_half)
         self.ledger.open("a", 3, expires=10.0)
 
     def test_a_grant_is_taken_from_the_holder_and_comes_back_unused(self):
-        self.assertEqual(self.ledger.grant("a", "b"), 2)
-        self.assertEqual(self.ledger.get_remaining("a"), 1)
-        self.assertEqual(self.ledger.give_back("b", 2), 2)
+        self.assertEqual(self.ledger.grant("a", "b"), 1)
+        self.assertEqual(self.ledger.get_remaining("a"), 2)
+        self.assertEqual(self.ledger.give_back("b", 1), 1)
         self.assertEqual(self.ledger.close("a"), 3)
 
     def test_a_doubled_answer_gives_back_once(self):
@@ -184,6 +184,28 @@
         decision = decide(remaining=ledger.get_remaining("last"))
         return decision.again and ledger.take("last")
 
+    def test_calls_made_in_turn_are_each_granted_everything(self):
+        """A deep chain meets three refusals on its way down.
+
+        Were half kept back at each hop, the last ones could not try again.
+        """
+        ledger = retries.Ledger()
+        for number in range(300):
+            ledger.open(f"a{number}", 3, expires=10.0)
+            granted = ledger.grant(f"a{number}", f"c{number}")
+            ledger.give_back(f"c{number}", granted)
+        ledger.open("a", 3, expires=10.0)
+        self.assertEqual(ledger.grant("a", "c"), 3)
+
+    def test_calls_made_together_share(self):
+        ledger = retries.Ledger()
+        for number in range(300):
+            ledger.open(f"a{number}", 3, expires=10.0)
+            first = ledger.grant(f"a{number}", f"c{number}")
+            second = ledger.grant(f"a{number}", f"d{number}")
+        self.assertEqual((first, second), (1, 1))
+        self.assertTrue(ledger.take("a299"))
+
     def test_jitter_spreads_what_was_refused_together(self):
         generator = random.Random(1)
         delays = [
--- a/whinwinch/claims.py
+++ b/whinwinch/claims.py
@@ -19,6 +19,7 @@
 import enum
 import heapq
 import json
+import sys
 import uuid
 from typing import NamedTuple
 
@@ -37,8 +38,9 @@
 # this within the window is refused for the key's remaining time.
 ATTEMPTS_PER_KEY = 64
 
-# Keys remembered by one reader; about 0.8 kB each.
-CAPACITY = 100_000
+# Keys remembered by one reader, some 0.7 kB each. A service with more keys in
+# the window than this answers GAP for its older ones.
+CAPACITY = 20_000
 
 FORMAT = 1
 KEY_VERSION = 7
@@ -295,7 +297,10 @@
     if kind is Done and type(fields[3]) is not int:
         return None
     key = normalize_key(fields[0])
-    return kind(key, *fields[1:]) if key else None
+    if not key:
+        return None
+    # A daemon's claims all carry the same incarnation; one copy is enough.
+    return kind(key, fields[1], sys.intern(fields[2]), *fields[3:])
 
 
 class KeyState:
--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -30,9 +30,16 @@
 LONGEST_BACKOFF = 1.0
 
 # Attempts that one ledger remembers. At 480,000 calls a second on 4,500
-# daemons and 10 s deadlines some 1,100 are open on average; the limit leaves
-# room for a hot service and bounds the memory at about 15 MB.
-CAPACITY = 50_000
+# daemons and 10 s deadlines some 1,100 are known on average; the limit leaves
+# room for a hot service. Each takes some 0.6 kB with one child.
+CAPACITY = 20_000
+
+# Below this share of calls that go out together a service counts as calling one
+# after the other. Two calls at once already make a share of a half.
+SELDOM_TOGETHER = 0.1
+
+# Weight of the newest call in that share: some 150 calls to change the habit.
+HABIT_WEIGHT = 1 / 64
 
 # Refusals that another endpoint may not share, so that a try elsewhere is of use.
 LOCAL_REASONS = frozenset(
@@ -148,23 +155,44 @@
     return random() * limit
 
 
-def grant_half(held):
-    """Grant a child half of what is held, rounded up.
+class Situation(NamedTuple):
+    """What is known when a child is to be granted retries.
 
-    The last retry goes down: a child that is refused gives it back with its
-    answer, while a failure deep down can only use what went down with the call.
+    Attributes:
+        held: Retries that the holder has.
+        together: Share of this backend server's calls that go out while
+            another call of the same request is out.
     """
-    return (held + 1) // 2
+
+    held: int
+    together: float
+
+
+def grant_all(situation):
+    """Grant a child all that is held; calls made beside it get nothing."""
+    return situation.held
 
 
-def grant_all(held):
-    """Grant a child all that is held; the branches beside it get nothing."""
-    return held
+def grant_half(situation):
+    """Grant a child half of what is held and keep the odd one.
 
+    Where calls go out together, what is kept serves whichever of them is
+    refused first, while what went down serves one branch only.
+    """
+    return situation.held // 2
+
+
+def grant_by_habit(situation):
+    """Grant all where calls go out one after the other, else half.
 
-def grant_lower_half(held):
-    """Grant a child half of what is held, rounded down; deep calls starve."""
-    return held // 2
+    One after the other, nothing is gained by holding back: each child returns
+    what it did not use before the next call. Half at each of 16 hops would
+    leave the last ones a single retry whatever the root holds. Calls that go
+    out together would find nothing left after the first.
+    """
+    if situation.together < SELDOM_TOGETHER:
+        return grant_all(situation)
+    return grant_half(situation)
 
 
 class Holding:
@@ -173,15 +201,17 @@
     Attributes:
         remaining: Retries still there to take or to grant.
         expires: Event loop time after which the attempt is forgotten.
+        out: Children that have not answered.
         closed: Whether it was answered; kept until it expires, so that a doubled
             message does not open it again with a second budget.
     """
 
-    __slots__ = ("closed", "expires", "remaining")
+    __slots__ = ("closed", "expires", "out", "remaining")
 
     def __init__(self, remaining, expires):
         self.remaining = remaining
         self.expires = expires
+        self.out = 0
         self.closed = False
 
 
@@ -205,17 +235,20 @@
     bound stands.
 
     Args:
-        policy: Function from what is held to what a new child is granted.
+        policy: Function from a `Situation` to what a new child is granted.
         capacity: Attempts remembered at most.
     """
 
-    def __init__(self, policy=grant_half, capacity=CAPACITY):
+    def __init__(self, policy=grant_by_habit, capacity=CAPACITY):
         self._policy = policy
         self._capacity = capacity
         self._holdings = {}
         self._children = {}
         self._grants = {}
         self._expiry = []
+        # A service that calls together is known after some seven calls; one
+        # that doesn't is right from the start.
+        self._together = 0.0
 
     def __len__(self):
         return len(self._holdings)
@@ -255,12 +288,14 @@
             Retries that the child may cause; 0 where the holder isn't known.
         """
         holding = self._find_open(attempt)
-        if holding is None or child in self._grants or holding.remaining == 0:
-            return 0
-        retries = min(holding.remaining, self._policy(holding.remaining))
-        if retries == 0:
+        if holding is None or child in self._grants:
             return 0
+        self._note_habit(holding.out > 0)
+        situation = Situation(holding.remaining, self._together)
+        wanted = self._policy(situation)
+        retries = min(holding.remaining, wanted)
         holding.remaining -= retries
+        holding.out += 1
         self._grants[child] = Grant(attempt, retries)
         self._children.setdefault(attempt, []).append(child)
         return retries
@@ -269,7 +304,8 @@
         """Return to the holder what a child's answer says it did not use.
 
         Each child gives back once and no more than it got. Without that a
-        doubled answer would add retries that were already used elsewhere.
+        doubled answer would add retries that were already used elsewhere. Call
+        it with 0 for a child whose answer is no longer waited for.
 
         Args:
             child: The child attempt that was answered.
@@ -284,6 +320,7 @@
         holding = self._find_open(grant.holder)
         if holding is None:
             return 0
+        holding.out -= 1
         returned = min(max(0, unused), grant.retries)
         holding.remaining += returned
         return returned
@@ -333,6 +370,9 @@
             forgotten += 1
         return forgotten
 
+    def _note_habit(self, together):
+        self._together += HABIT_WEIGHT * (together - self._together)
+
     def _find_open(self, attempt):
         holding = self._holdings.get(attempt)
         return None if holding is None or holding.closed else holding
