Replay recorded traces against the stated outcomes

The claims of the whole trace are taken in before it is judged: a daemon that missed an earlier claim has not recorded it.

--- /dev/null
+++ b/whinwinch/traces.py
@@ -0,0 +1,603 @@
+"""Recorded traces, and their replay against the stated outcomes.
+
+A trace is a file of JSON lines: a head with the version of the format, then one
+record a line, each with its type. Daemons write them; records of several
+daemons are merged by time, so that an answer stands after what it answers.
+`check_trace` names every record by which a promise is broken, the first one
+first.
+"""
+
+import json
+import threading
+from typing import NamedTuple
+
+from .errors import Finding
+from .messages import Outcome
+
+FORMAT = "whinwinch-trace"
+VERSION = 1
+
+PASSED = 0
+BROKEN = 1
+
+
+class RootRequest(NamedTuple):
+    """An outside caller's request reached its entry.
+
+    Attributes:
+        daemon: The entry.
+        root: Identifier of the root request.
+        budget: Retries that the whole tree may cause.
+        caller: Name of the caller.
+    """
+
+    daemon: str
+    root: str
+    budget: int
+    caller: str = ""
+
+
+class Attempt(NamedTuple):
+    """A daemon made an attempt of a call.
+
+    Attributes:
+        daemon: The daemon that made it.
+        root: Identifier of the root request.
+        attempt: The attempt.
+        service: Service called.
+        retry: Whether it repeats an attempt that was refused or lost.
+        key: Idempotency key, or "".
+    """
+
+    daemon: str
+    root: str
+    attempt: str
+    service: str
+    retry: bool = False
+    key: str = ""
+
+
+class Admission(NamedTuple):
+    """A gatekeeper decided on an attempt by its admission level.
+
+    Attributes:
+        daemon: The gatekeeper.
+        attempt: The attempt.
+        admitted: Whether it was let in.
+        rank: Rank of the request, importance first.
+        level: Admission level at that moment.
+    """
+
+    daemon: str
+    attempt: str
+    admitted: bool
+    rank: float = 0.0
+    level: float = 0.0
+
+
+class ClaimRead(NamedTuple):
+    """A claim was read from the log.
+
+    Attributes:
+        daemon: The reader.
+        key: Idempotency key.
+        attempt: The attempt.
+        incarnation: Incarnation that claimed.
+        offset: Offset of the record.
+        place: Place within the record.
+    """
+
+    daemon: str
+    key: str
+    attempt: str
+    incarnation: str
+    offset: int
+    place: int = 0
+
+
+class ReleaseRead(NamedTuple):
+    """A release was read from the log; the attributes are those of a claim."""
+
+    daemon: str
+    key: str
+    attempt: str
+    incarnation: str
+    offset: int
+    place: int = 0
+
+
+class Run(NamedTuple):
+    """An attempt was sent to a backend server.
+
+    Attributes:
+        daemon: The gatekeeper, also the incarnation that claims.
+        attempt: The attempt.
+        key: Idempotency key, or "".
+    """
+
+    daemon: str
+    attempt: str
+    key: str = ""
+
+
+class BackendAnswer(NamedTuple):
+    """A backend server answered.
+
+    Attributes:
+        daemon: The gatekeeper.
+        attempt: The attempt.
+        status: HTTP status.
+        length: Bytes of the body.
+        digest: Digest of the body.
+    """
+
+    daemon: str
+    attempt: str
+    status: int
+    length: int
+    digest: str
+
+
+class Answered(NamedTuple):
+    """A daemon answered an attempt, towards whoever made it.
+
+    Attributes:
+        daemon: The daemon that answers.
+        attempt: The attempt.
+        outcome: Value of its `messages.Outcome`.
+        reason: Value of its `messages.Reason`.
+        length: Bytes of the body.
+        digest: Digest of the body.
+    """
+
+    daemon: str
+    attempt: str
+    outcome: str
+    reason: str = "none"
+    length: int = 0
+    digest: str = ""
+
+
+class Delivered(NamedTuple):
+    """The outside caller got its answer.
+
+    Attributes:
+        daemon: The entry.
+        root: Identifier of the root request.
+        outcome: Value of its `messages.Outcome`.
+        source: Attempt whose answer it is, or "" where the entry made it.
+        length: Bytes of the body.
+        digest: Digest of the body.
+    """
+
+    daemon: str
+    root: str
+    outcome: str
+    source: str = ""
+    length: int = 0
+    digest: str = ""
+
+
+class Leaving(NamedTuple):
+    """A gatekeeper began to refuse new work."""
+
+    daemon: str
+
+
+class Stopped(NamedTuple):
+    """A daemon stopped as planned."""
+
+    daemon: str
+
+
+class Configured(NamedTuple):
+    """A daemon put a configuration in force.
+
+    Attributes:
+        daemon: The daemon, new at every start.
+        version: Version of the configuration.
+        digest: Digest of all resources.
+    """
+
+    daemon: str
+    version: int
+    digest: str
+
+
+class Fault(NamedTuple):
+    """Something went wrong or was made to; it explains, and is not judged.
+
+    Attributes:
+        daemon: Where, or "" for the platform.
+        text: What.
+    """
+
+    daemon: str
+    text: str
+
+
+KINDS = {
+    "root-request": RootRequest,
+    "attempt": Attempt,
+    "admission": Admission,
+    "claim": ClaimRead,
+    "release": ReleaseRead,
+    "run": Run,
+    "backend-answer": BackendAnswer,
+    "answered": Answered,
+    "delivered": Delivered,
+    "leaving": Leaving,
+    "stopped": Stopped,
+    "configured": Configured,
+    "fault": Fault,
+}
+KIND_NAMES = {kind: name for name, kind in KINDS.items()}
+
+
+class Replay(NamedTuple):
+    """Result of a replay, for the command line.
+
+    Attributes:
+        code: Exit code: 0 when every promise held.
+        text: What to print.
+    """
+
+    code: int
+    text: str
+
+
+def encode_head():
+    """Return the first line of a trace, without its line end."""
+    return json.dumps({"format": FORMAT, "version": VERSION})
+
+
+def encode_record(record):
+    """Return one record as a line, without its line end."""
+    return json.dumps({"kind": KIND_NAMES[type(record)], **record._asdict()})
+
+
+def decode_record(line):
+    """Return the record of one line.
+
+    Raises:
+        ValueError: When the line isn't a record; the message says why.
+    """
+    try:
+        fields = json.loads(line)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+    if not isinstance(fields, dict):
+        raise ValueError("not an object")
+    kind = KINDS.get(str(fields.pop("kind", "")))
+    if kind is None:
+        raise ValueError("no known kind")
+    try:
+        record = kind(**fields)
+    except TypeError as error:
+        raise ValueError(f"wrong fields: {error}") from error
+    check_types(record)
+    return record
+
+
+def check_types(record):
+    """Check that each field of a record has the type that it declares.
+
+    Raises:
+        ValueError: When one hasn't.
+    """
+    for name, wanted in type(record).__annotations__.items():
+        value = getattr(record, name)
+        if wanted is float and type(value) is int:
+            continue
+        if type(value) is not wanted:
+            raise ValueError(f"{name} is not of type {wanted.__name__}")
+
+
+def make_recorder(stream):
+    """Return a function that writes records to a text stream, one a line.
+
+    Several threads may call it: a lock keeps lines whole and in the order in
+    which a daemon did things, on which the replay relies.
+
+    Args:
+        stream: Text stream; the head is written at once.
+    """
+    lock = threading.Lock()
+
+    def record(entry):
+        line = encode_record(entry)
+        with lock:
+            stream.write(line + "\n")
+
+    stream.write(encode_head() + "\n")
+    return record
+
+
+class History:
+    """What the records read so far say.
+
+    Attributes:
+        budgets: Budget of each root request.
+        makers: The `Attempt` record of each attempt.
+        retries: Retries seen for each root request.
+        runs: Attempts that ran, with the line.
+        key_runs: The run of each key, with the line.
+        claims: Claims and releases of each key, by place in the log.
+        claims_read: Claims that each daemon has read, as pairs with the daemon.
+        backend_answers: Length and digest of each backend server's answer.
+        answers: The `Answered` of each attempt.
+        delivered: Root requests whose caller has its answer.
+        open: Attempts inside each gatekeeper.
+        leaving: Daemons that are leaving.
+        stopped: Daemons that have stopped.
+        versions: Version in force at each daemon.
+        digests: Digest of each version.
+    """
+
+    def __init__(self):
+        self.budgets = {}
+        self.makers = {}
+        self.retries = {}
+        self.runs = {}
+        self.key_runs = {}
+        self.claims = {}
+        self.claims_read = set()
+        self.backend_answers = {}
+        self.answers = {}
+        self.delivered = set()
+        self.open = {}
+        self.leaving = set()
+        self.stopped = set()
+        self.versions = {}
+        self.digests = {}
+
+
+def check_trace(lines):
+    """Check a trace against the stated outcomes.
+
+    Args:
+        lines: Its lines, the head first.
+
+    Returns:
+        A tuple of `Finding`, one for each record that is malformed or breaks a
+        promise, in the order of the lines.
+    """
+    lines = tuple(lines)
+    history = History()
+    take_in_claims(history, lines)
+    findings = []
+    for number, line in enumerate(lines, 1):
+        place = f"line {number}"
+        if number == 1:
+            problems = check_head(line)
+        else:
+            problems = check_line(history, line, number)
+        findings.extend(Finding(place, problem) for problem in problems)
+    if not findings and not history.makers and not history.versions:
+        findings.append(Finding("trace", "holds no record that could be judged"))
+    return tuple(findings)
+
+
+def take_in_claims(history, lines):
+    """Take in all that any daemon read of the log, before judging.
+
+    The log's order decides, and a daemon that missed an earlier claim will not
+    have recorded it; another daemon's record shows it, perhaps further down.
+    """
+    for line in lines[1:]:
+        try:
+            record = decode_record(line)
+        except ValueError:
+            continue
+        if type(record) in (ClaimRead, ReleaseRead):
+            place = (record.offset, record.place)
+            entry = (KIND_NAMES[type(record)], record.attempt, record.incarnation)
+            history.claims.setdefault(record.key, {}).setdefault(place, entry)
+
+
+def check_head(line):
+    """Return what is wrong with the first line."""
+    try:
+        head = json.loads(line)
+    except ValueError:
+        head = None
+    if not isinstance(head, dict) or head.get("format") != FORMAT:
+        return [f"is not the head of a trace: {encode_head()}"]
+    if head.get("version") != VERSION:
+        return [f"is of version {head.get('version')}; this reads {VERSION}"]
+    return []
+
+
+def check_line(history, line, number):
+    """Return what is wrong with a record, having taken it in."""
+    try:
+        record = decode_record(line)
+    except ValueError as error:
+        return [f"is not a record: {error}"]
+    check = CHECKS.get(type(record))
+    return list(check(history, record, number)) if check else []
+
+
+def check_root_request(history, record, number):
+    """Take in a root request."""
+    if record.root in history.budgets:
+        yield f"root request {record.root} is recorded twice"
+    history.budgets[record.root] = record.budget
+
+
+def check_attempt(history, record, number):
+    """Check the bound on the retries of a whole request."""
+    history.makers[record.attempt] = record
+    if not record.retry:
+        return
+    made = history.retries.get(record.root, 0) + 1
+    history.retries[record.root] = made
+    bound = history.budgets.get(record.root)
+    if bound is not None and made > bound:
+        yield f"root request {record.root} causes retry {made}, its bound is {bound}"
+
+
+def check_admission(history, record, number):
+    """Check that a level sheds by rank, and that nobody leaving takes work."""
+    if record.admitted and record.rank < record.level:
+        yield f"attempt {record.attempt} is admitted below the level"
+    if not record.admitted and record.rank >= record.level > 0:
+        yield f"attempt {record.attempt} is shed though its rank reaches the level"
+    if not record.admitted:
+        return
+    if record.daemon in history.leaving:
+        yield f"{record.daemon} is leaving and admits attempt {record.attempt}"
+    history.open.setdefault(record.daemon, set()).add(record.attempt)
+
+
+def check_claim(history, record, number):
+    """Check that readers agree on the log, and note who has read what."""
+    entry = ("claim", record.attempt, record.incarnation)
+    if history.claims[record.key][(record.offset, record.place)] != entry:
+        yield f"two readers disagree on offset {record.offset}"
+    history.claims_read.add((record.daemon, record.key, record.attempt))
+
+
+def check_release(history, record, number):
+    """Check that nothing that ran is released."""
+    if record.attempt in history.runs:
+        yield f"attempt {record.attempt} ran and is released"
+
+
+def check_run(history, record, number):
+    """Check at-most-once, claims and the word "not run"."""
+    answer = history.answers.get(record.attempt)
+    if answer and answer.outcome == Outcome.NOT_RUN.value:
+        yield f'attempt {record.attempt} runs after "not run" was said of it'
+    history.runs[record.attempt] = number
+    if not record.key:
+        return
+    earlier = history.key_runs.setdefault(record.key, number)
+    if earlier != number:
+        yield f"key {record.key} runs a second time, first at line {earlier}"
+    if (record.daemon, record.key, record.attempt) not in history.claims_read:
+        yield f"attempt {record.attempt} runs before its claim was read"
+    elif find_holder(history, record.key) != (record.attempt, record.daemon):
+        yield f"attempt {record.attempt} runs without holding key {record.key}"
+
+
+def find_holder(history, key):
+    """Return attempt and incarnation of the claim that holds a key, or None."""
+    holder = None
+    decided = set()
+    claims = history.claims.get(key, {})
+    for place in sorted(claims):
+        kind, *identity = claims[place]
+        identity = tuple(identity)
+        if kind == "release":
+            decided.add(identity)
+            holder = None if holder == identity else holder
+        elif identity not in decided:
+            decided.add(identity)
+            holder = holder or identity
+    return holder
+
+
+def check_backend_answer(history, record, number):
+    """Take in what a backend server answered."""
+    if record.attempt not in history.runs:
+        yield f"attempt {record.attempt} is answered without having run"
+    history.backend_answers[record.attempt] = (record.length, record.digest)
+
+
+def check_answered(history, record, number):
+    """Check that an answer is whole, its own, and true."""
+    history.open.get(record.daemon, set()).discard(record.attempt)
+    history.answers.setdefault(record.attempt, record)
+    if record.outcome == Outcome.NOT_RUN.value and record.attempt in history.runs:
+        line = history.runs[record.attempt]
+        yield f'attempt {record.attempt} is said "not run" but ran at line {line}'
+    if record.outcome != Outcome.COMPLETED.value:
+        return
+    content = history.backend_answers.get(record.attempt)
+    if content is None:
+        yield f"attempt {record.attempt} is completed without a backend answer"
+    elif content != (record.length, record.digest):
+        yield f"attempt {record.attempt} gets an answer that isn't its own or whole"
+
+
+def check_delivered(history, record, number):
+    """Check that a caller gets the whole answer to its own request, once."""
+    if record.root in history.delivered:
+        yield f"root request {record.root} is answered twice"
+    history.delivered.add(record.root)
+    maker = history.makers.get(record.source)
+    wanted = (record.daemon, record.root)
+    if record.source and (maker is None or (maker.daemon, maker.root) != wanted):
+        yield f"root request {record.root} gets the answer to another"
+    answer = history.answers.get(record.source)
+    if record.outcome == Outcome.COMPLETED.value:
+        if answer is None:
+            yield f"root request {record.root} is completed without an answer"
+        elif (answer.length, answer.digest) != (record.length, record.digest):
+            yield f"root request {record.root} gets a part of its answer"
+    if record.outcome == Outcome.NOT_RUN.value and record.source in history.runs:
+        yield f'root request {record.root} is said "not run" but ran'
+
+
+def check_leaving(history, record, number):
+    """Take in that a gatekeeper refuses new work from now on."""
+    history.leaving.add(record.daemon)
+    return ()
+
+
+def check_stopped(history, record, number):
+    """Check that a planned stop cuts nothing off."""
+    history.stopped.add(record.daemon)
+    left = sorted(history.open.get(record.daemon, ()))
+    if left:
+        yield f"{record.daemon} stops with attempts in flight: {', '.join(left)}"
+
+
+def check_configured(history, record, number):
+    """Check that configuration never reverts and is the same everywhere."""
+    present = history.versions.get(record.daemon, 0)
+    if record.version < present:
+        yield f"{record.daemon} goes back from version {present} to {record.version}"
+    history.versions[record.daemon] = record.version
+    digest = history.digests.setdefault(record.version, record.digest)
+    if digest != record.digest:
+        yield f"{record.daemon} holds a different version {record.version}"
+
+
+CHECKS = {
+    RootRequest: check_root_request,
+    Attempt: check_attempt,
+    Admission: check_admission,
+    ClaimRead: check_claim,
+    ReleaseRead: check_release,
+    Run: check_run,
+    BackendAnswer: check_backend_answer,
+    Answered: check_answered,
+    Delivered: check_delivered,
+    Leaving: check_leaving,
+    Stopped: check_stopped,
+    Configured: check_configured,
+}
+
+
+def replay_file(path):
+    """Check a trace file.
+
+    Args:
+        path: Path of the trace.
+
+    Returns:
+        A `Replay`.
+
+    Raises:
+        OSError: When the file can't be read.
+    """
+    with open(path, encoding="utf-8", errors="replace") as lines:
+        findings = check_trace(lines)
+    if not findings:
+        return Replay(PASSED, f"{path}: every stated outcome held")
+    first, *others = findings
+    report = [f"{path}: {first.place}: {first.problem}"]
+    report.extend(f"  then {each.place}: {each.problem}" for each in others)
+    return Replay(BROKEN, "\n".join(report))
