--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -27,55 +27,62 @@
 DECAY_SECONDS = 0.5
 # As many answers as a handful of endpoints give in a few rounds.
 SAMPLES = 8
-MOST_FLOWS = 2048
-# Endpoints of one service differ by chance in the level that they tell; answers
-# further apart than this are of flows that are treated differently.
-SPREAD = 0.3
+MOST_TRACKS = 4096
+# Long enough to hear of flows that give one answer in a hundred.
+LOWEST_SECONDS = 1.0
+# More than chance makes the levels at two hops differ.
+PASSED_MARGIN = 0.2
 
 
 class Track:
     """What the answers of one flow lately said."""
 
+    __slots__ = ("_interval", "_lowest", "_mean", "_time")
+
     def __init__(self):
-        self.interval = HOLD_MOST / HOLD_INTERVALS
-        self.smooth = 0.0
-        self.time = None
-        self._samples = collections.deque(maxlen=SAMPLES)
+        self._interval = HOLD_MOST / HOLD_INTERVALS
+        self._mean = 0.0
+        self._time = None
+        self._lowest = collections.deque()
 
     def learn(self, level, now):
         """Take the level that one answer told."""
         weight = 1.0
-        if self.time is not None:
-            elapsed = now - self.time
-            self.interval += (min(elapsed, HOLD_MOST) - self.interval) / SAMPLES
+        if self._time is not None:
+            elapsed = now - self._time
+            self._interval += (min(elapsed, HOLD_MOST) - self._interval) / SAMPLES
             weight = max(1.0 / SAMPLES, min(1.0, elapsed / HOLD_LEAST))
-        self.smooth += weight * (level - self.smooth)
-        self.time = now
-        self._samples.append((now, level))
-
-    def level(self, now):
+        self._mean += weight * (level - self._mean)
+        self._time = now
+        # Ascending in time and level, so the first is the lowest that counts.
+        lowest = self._lowest
+        while lowest and lowest[-1][1] >= level:
+            lowest.pop()
+        while lowest and lowest[0][0] < now - LOWEST_SECONDS:
+            lowest.popleft()
+        lowest.append((now, level))
+
+    def mean(self, now):
         """Return the mean level told, decayed."""
-        return self.smooth * self._keep(now)
+        return self._mean * self.keep(now)
 
     def lowest(self, now):
         """Return the lowest level told lately, decayed."""
-        return min(level for _, level in self._samples) * self._keep(now)
-
-    def general(self, now):
-        """Return the level that holds for flows of which nothing is known."""
-        told = [level for _, level in self._samples]
-        if max(told) - min(told) > SPREAD:
-            return self.lowest(now)
-        return self.level(now)
-
-    def _keep(self, now):
-        hold = min(max(HOLD_INTERVALS * self.interval, HOLD_LEAST), HOLD_MOST)
-        over = now - self.time - hold
+        return self._lowest[0][1] * self.keep(now)
+
+    def keep(self, now):
+        """Return how much of a level is left, from 1 for fresh to 0."""
+        hold = min(max(HOLD_INTERVALS * self._interval, HOLD_LEAST), HOLD_MOST)
+        over = now - self._time - hold
         return min(1.0, max(0.0, 1.0 - over / DECAY_SECONDS))
 
 
 class Levels:
-    """Levels by service and call, and by flow within them."""
+    """Levels by service and call, and by flow within them.
+
+    Two sets: what callers of a service have to expect of it and all below it,
+    and, at the gatekeeper of a service, what its nested calls meet below.
+    """
 
     def __init__(self):
         self._tracks = collections.OrderedDict()
@@ -92,11 +99,21 @@
                 a hot caller or key off the others.
         """
         level = max(load.level, load.below)
-        for key in name_tracks(service, call, request):
-            self._find(key).learn(level, now)
+        self._learn(name_tracks("", service, call, request), level, now)
+
+    def learn_below(self, request, level, now):
+        """Take, at a gatekeeper, the highest level that nested calls met.
+
+        Args:
+            request: The request that made the nested calls.
+            level: Highest level told by their answers.
+            now: Time of the loop's clock in seconds.
+        """
+        keys = name_tracks("below", request.service, request.call, request)
+        self._learn(keys, level, now)
 
     def level(self, service, call, now, request=None):
-        """Return the level below which a request would be refused deeper.
+        """Return the level below which a request would be refused.
 
         Args:
             service: The service to be called.
@@ -108,45 +125,87 @@
             From 0 (admits all) to 4, to be compared with
             `messages.rank_request`.
         """
-        if request is None:
-            track = self._tracks.get((service, call, "", ""))
-            return track.level(now) if track else 0.0
-        keys = name_tracks(service, call, request)
-        tracks = [self._tracks[key] for key in keys if key in self._tracks]
-        if not tracks:
-            return 0.0
-        # A flow is refused above the others' level only if all its answers say
-        # so: a caller that asks for a hot key may ask for others too.
-        general = tracks[0].general(now)
-        return max([general, *(track.lowest(now) for track in tracks[1:])])
+        return self._level(name_tracks("", service, call, request), now)
+
+    def below(self, request, now):
+        """Return, at a gatekeeper, the level that nested calls would meet.
+
+        It goes into `messages.Load.below` of every answer, also of refusals.
+        """
+        keys = name_tracks("below", request.service, request.call, request)
+        return self._level(keys, now)
 
     def refuse(self, request, now):
-        """Refuse a request that would be refused deeper, or return None."""
+        """Refuse a request that would be refused further on, or return None."""
         level = self.level(request.service, request.call, now, request)
-        rank = messages.rank_request(request)
-        if rank >= level:
-            return None
-        importance = int(request.importance)
-        pressure = min(1.0, level - importance)
-        pause = hints.choose_retry_after(pressure, request.attempt)
-        return gate.Decision(
-            request.attempt, gate.Verdict.REFUSE, messages.Reason.LEVEL, pause
-        )
+        return refuse_below(request, level)
+
+    def refuse_below(self, request, now):
+        """Refuse, at a gatekeeper, what its nested calls would be refused for."""
+        return refuse_below(request, self.below(request, now))
+
+    def _learn(self, keys, level, now):
+        for key in keys:
+            self._find(key).learn(level, now)
+
+    def _level(self, keys, now):
+        if len(keys) == 1:
+            track = self._tracks.get(keys[0])
+            return track.mean(now) if track else 0.0
+        track = self._tracks.get(keys[-1])
+        if track is not None and track.keep(now) > 0.0:
+            return track.mean(now)
+        # Nothing is known of this caller and key together. One of them may be
+        # hot and give most answers, so the lowest level told counts: refused
+        # for a hot caller's level, another would never learn its own.
+        tracks = [self._tracks[key] for key in keys[1:-1] if key in self._tracks]
+        told = [track.lowest(now) for track in tracks if track.keep(now) > 0.0]
+        if told:
+            return max(told)
+        general = self._tracks.get(keys[0])
+        return general.lowest(now) if general else 0.0
 
     def _find(self, key):
-        track = self._tracks.pop(key, None) or Track()
-        self._tracks[key] = track
-        if len(self._tracks) > MOST_FLOWS:
-            self._tracks.popitem(last=False)
+        track = self._tracks.get(key)
+        if track is None:
+            track = self._tracks[key] = Track()
+            if len(self._tracks) > MOST_TRACKS:
+                self._tracks.popitem(last=False)
+        else:
+            self._tracks.move_to_end(key)
         return track
 
 
-def name_tracks(service, call, request):
-    """Return the keys of the levels that concern a request."""
-    keys = [(service, call, "", "")]
-    if request is not None and request.caller:
-        keys.append((service, call, "caller", request.caller))
-    if request is not None and request.path:
-        path = request.path.partition("?")[0]
-        keys.append((service, call, "path", path))
+def refuse_below(request, level):
+    """Refuse a request whose rank is below a level, or return None.
+
+    Past the first service work has been done, and each hop sees the level a
+    little differently: a request let in at the entry would be lost if its rank
+    had to be above every one of them. There only what is clearly below goes.
+    """
+    if request.via:
+        level -= PASSED_MARGIN
+    if level <= 0.0 or messages.rank_request(request) >= level:
+        return None
+    pressure = min(1.0, level - int(request.importance))
+    pause = hints.choose_retry_after(pressure, request.attempt)
+    return gate.Decision(
+        request.attempt, gate.Verdict.REFUSE, messages.Reason.LEVEL, pause
+    )
+
+
+def name_tracks(side, service, call, request):
+    """Return the keys of the levels that concern a request.
+
+    The first is that of all requests, the last that of the request's own flow;
+    between them stand the caller's and the path's, where there are both.
+    """
+    keys = [(side, service, call)]
+    if request is None:
+        return keys
+    path = request.path.partition("?")[0]
+    keys.append((side, service, call, "path", path))
+    if request.caller:
+        keys.append((side, service, call, "caller", request.caller))
+    keys.append((side, service, call, request.caller, path))
     return keys
