--- a/bench/latency.py
+++ b/bench/latency.py
@@ -19,7 +19,6 @@
 import random
 import socket
 import sys
-import tempfile
 import time
 from typing import NamedTuple
 
@@ -88,24 +87,28 @@
     parser.add_argument("--seconds", type=float, default=6.0, help="of each turn")
     parser.add_argument("--rate", type=float, default=RATE, help="calls a second")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", help="directory for the processes' output")
     parser.add_argument("--only", choices=("daemons", "layers"))
     parser.add_argument("--case", choices=[case.name for case in CASES])
     options = parser.parse_args(arguments)
-    with (
-        tempfile.TemporaryDirectory(prefix="whinwinch-bench-") as directory,
-        processes.Processes(directory) as running,
-    ):
-        try:
-            if options.only != "daemons":
-                measure_layers(running)
-            if options.only != "layers":
-                measure_daemons(running, options)
-        except processes.NotReady as error:
-            print(f"error: {error}", file=sys.stderr)
-            return 1
+    try:
+        with processes.keep_output(options.output) as directory:
+            measure(processes.Processes(directory), options)
+    except processes.NotReady as error:
+        print(f"error: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
+def measure(started, options):
+    """Measure what is asked for and stop all processes."""
+    with started as running:
+        if options.only != "daemons":
+            measure_layers(running)
+        if options.only != "layers":
+            measure_daemons(running, options)
+
+
 def measure_daemons(running, options):
     """Measure the cases, then a daemon's memory and processor time."""
     nodes = mesh.place_nodes(SERVICES, ZONES)
@@ -114,7 +117,8 @@
     mesh.wait_until_reached(running, started)
     (daemon, *_) = started.daemons
     idle = measure_idle(daemon)
-    print_row(f"{options.rate:.0f} calls/s", "median ms", "p99 ms", "calls", "bad")
+    header = ("median ms", "p99 ms", "calls", "bad", "retries")
+    print_row(f"{options.rate:.0f} calls/s", *header)
     for case in CASES:
         if options.case in (None, case.name):
             measure_case(case, nodes, daemon, options)
@@ -186,7 +190,8 @@
     before, after = find_quantiles(direct), find_quantiles(through)
     for label, sent, found in (("direct", direct, before), ("daemons", through, after)):
         bad = sum(not each.succeeded for each in sent)
-        print_row(f"{name} {label}", *format_numbers(found), len(sent), bad)
+        retries = sum(each.retries for each in sent)
+        print_row(f"{name} {label}", *format_numbers(found), len(sent), bad, retries)
     pairs = tuple(zip(before, after, strict=True))
     print_row(f"{name} added", *format_numbers([high - low for low, high in pairs]))
     print_row(f"{name} ratio", *format_numbers([high / low for low, high in pairs]))
--- a/demo/run.py
+++ b/demo/run.py
@@ -9,11 +9,9 @@
 """
 
 import argparse
-import contextlib
 import pathlib
 import signal
 import sys
-import tempfile
 import time
 
 from standins import caller, processes, trace
@@ -53,20 +51,17 @@
     # Also SIGINT: a shell starts background jobs with it ignored.
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, raise_interrupted)
-    with contextlib.ExitStack() as stack:
-        directory = options.output or stack.enter_context(
-            tempfile.TemporaryDirectory(prefix="whinwinch-demo-")
-        )
-        pathlib.Path(directory).mkdir(parents=True, exist_ok=True)
-        try:
-            with processes.Processes(directory) as running:
-                return run(running, options.seed)
-        except processes.NotReady as error:
-            print(f"error: {error}", file=sys.stderr)
-            return FAILED
-        except Interrupted:
-            print("interrupted; everything was stopped", file=sys.stderr)
-            return FAILED
+    try:
+        with (
+            processes.keep_output(options.output) as directory,
+            processes.Processes(directory) as running,
+        ):
+            return run(running, options.seed)
+    except processes.NotReady as error:
+        print(f"error: {error}", file=sys.stderr)
+    except Interrupted:
+        print("interrupted; everything was stopped", file=sys.stderr)
+    return FAILED
 
 
 def raise_interrupted(*_):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from typing import NamedTuple
 
@@ -156,6 +157,17 @@
         return False
 
 
+@contextlib.contextmanager
+def keep_output(directory=None):
+    """Give a directory for processes' output, a passing one unless one is named."""
+    if directory is None:
+        with tempfile.TemporaryDirectory(prefix="whinwinch-") as passing:
+            yield passing
+        return
+    pathlib.Path(directory).mkdir(parents=True, exist_ok=True)
+    yield directory
+
+
 def find_ports(count):
     """Return free TCP ports of the loopback address, all different."""
     with contextlib.ExitStack() as stack:
