Bound the queue by what callers can wait; refuse only clearly late requests

Cause: a queue sized by arrivals alone is longer than callers with short timeouts wait, and mean service times that still hold the queue of a deep service made the hops above refuse for a wait that was over, so goodput swung.

--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -12,6 +12,7 @@
 
 import collections
 import math
+from typing import NamedTuple
 
 from . import admission
 
@@ -27,6 +28,8 @@
 # Jobs that take this many times the median are kept to their part of the slots.
 LONG_RATIO = 8.0
 MOST_KINDS = 256
+QUICK_FALL = 0.2
+QUICK_RISE = 0.02
 
 
 class Flows:
@@ -167,11 +170,43 @@
                 self._levels.pop(name, None)
 
 
+class Seen(NamedTuple):
+    """Service times seen of one kind of job, in seconds.
+
+    Attributes:
+        mean: Mean of about the last twenty.
+        deviation: Mean deviation from it.
+        quick: What a quick job takes.
+        count: Jobs seen, at most 200.
+    """
+
+    mean: float
+    deviation: float
+    quick: float
+    count: float
+
+    def add(self, seconds):
+        """Return what is seen with one more job."""
+        count = min(self.count + 1.0, 200.0)
+        weight = 1.0 / min(count, 20.0)
+        deviation = self.deviation + weight * (
+            abs(seconds - self.mean) - self.deviation
+        )
+        mean = self.mean + weight * (seconds - self.mean)
+        # Falls ten times faster than it rises. Jobs that waited for a deep
+        # service take long, until its queue is shorter; were they believed for
+        # long, requests would be refused for a wait that is over, and with none
+        # let in nothing would show that.
+        step = QUICK_FALL if seconds < self.quick else QUICK_RISE
+        quick = self.quick + step * (seconds - self.quick)
+        return Seen(mean, deviation, quick, count)
+
+
 class Durations:
-    """Mean service time for each kind of job, and which kinds are long."""
+    """Service times of each kind of job, and which kinds are long."""
 
     def __init__(self):
-        self._means = collections.OrderedDict()
+        self._seen = collections.OrderedDict()
         self._started = {}
         self._median = None
         self._observed = 0
@@ -183,39 +218,47 @@
 
     def start(self, kind, now):
         """Note that a job of a kind not seen to its end has started."""
-        if kind not in self._means and len(self._started) < MOST_KINDS:
+        if kind not in self._seen and len(self._started) < MOST_KINDS:
             self._started.setdefault(kind, now)
 
     def observe(self, kind, seconds):
         """Take the service time of one job."""
-        mean, count = self._means.pop(kind, (seconds, 0.0))
-        count = min(count + 1.0, 200.0)
-        self._means[kind] = (mean + (seconds - mean) / min(count, 20.0), count)
+        seen = self._seen.pop(kind, Seen(seconds, 0.0, seconds, 0.0))
+        self._seen[kind] = seen.add(seconds)
         self._started.pop(kind, None)
-        while len(self._means) > MOST_KINDS:
-            self._means.popitem(last=False)
+        while len(self._seen) > MOST_KINDS:
+            self._seen.popitem(last=False)
         self._observed += 1
         if self._observed < 50 or self._observed % 20 == 0:
             self._median = self._find_median()
 
-    def mean(self, kind):
-        """Return the mean service time of a kind in seconds, 0 when unknown."""
-        return self._means.get(kind, (0.0, 0.0))[0]
+    def allow(self, kind):
+        """Return the seconds that most jobs of a kind take, 0 when unknown.
+
+        Twice the mean deviation above the mean covers some nine jobs in ten.
+        """
+        seen = self._seen.get(kind)
+        return seen.mean + 2.0 * seen.deviation if seen else 0.0
+
+    def hope(self, kind):
+        """Return the seconds that a quick job of a kind takes, 0 when unknown."""
+        seen = self._seen.get(kind)
+        return seen.quick if seen else 0.0
 
     def is_long(self, kind, now):
         """Return whether jobs of a kind take far longer than most."""
         if self._median is None:
             return False
-        seen = self._means.get(kind)
+        seen = self._seen.get(kind)
         if seen is not None:
-            return seen[0] > LONG_RATIO * self._median
+            return seen.mean > LONG_RATIO * self._median
         # The first long jobs show themselves by staying: waiting for one to
         # end would let the ones that follow take every slot meanwhile.
         started = self._started.get(kind)
         return started is not None and now - started > LONG_RATIO * self._median
 
     def _find_median(self):
-        means = sorted(self._means.values())
+        means = sorted((seen.mean, seen.count) for seen in self._seen.values())
         half = sum(count for _, count in means) / 2.0
         for mean, count in means:
             half -= count
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -21,6 +21,12 @@
 REACTION_SECONDS = 1.0
 CONTROL_SECONDS = 0.05
 MEAN_SECONDS = 5.0
+# The slack is followed near its lower end (the fall weighs four times the rise,
+# which settles at about the lowest fifth), so that most arrivals can wait out
+# the queue.
+SLACK_FALL = 0.1
+SLACK_RISE = 0.025
+SLACK_START = 1.0
 # Idle slots let the estimate of the demand fall by this time constant at most.
 IDLE_SECONDS = 0.1
 # The correction of the capacity takes several reaction times, so that it and
@@ -65,6 +71,7 @@
         self.in_service = 0
         self.capacity = 0.0
         self.factor = 1.0
+        self.slack = SLACK_START
         self._time = now
         self._time_sum = 0.0
         self._count = 0.0
@@ -97,6 +104,15 @@
         """Mean service time in seconds, 0 when unknown."""
         return self._time_sum / self._count if self._count > 1e-6 else 0.0
 
+    def note_slack(self, seconds):
+        """Take the time that one arrival could wait and still be in time."""
+        weight = SLACK_FALL if seconds < self.slack else SLACK_RISE
+        self.slack += weight * (max(seconds, 0.0) - self.slack)
+
+    def choose_length(self):
+        """Return how many requests may wait."""
+        return waiting.choose_length(self.capacity, REACTION_SECONDS, self.slack)
+
     def trim(self, error, elapsed):
         """Correct the capacity by what the queue shows, slowly.
 
@@ -158,6 +174,7 @@
         lane = self._choose_lane(kind, now)
         rank = messages.rank_request(request)
         lane.shares.record(request, rank, now)
+        lane.note_slack(request.deadline - now - self._durations.allow(kind))
         self._control(now)
         if self._is_late(request, lane, kind, now):
             return self._refuse(request, lane, messages.Reason.DEADLINE, now)
@@ -279,7 +296,7 @@
             return False
         ahead = lane.queue.count_ahead(int(request.importance))
         wait = ahead / lane.capacity if lane.capacity > 0.0 else 0.0
-        return wait + self._durations.mean(kind) > left
+        return wait + self._durations.hope(kind) > left
 
     def _long_limit(self):
         limit = self._limit.value
@@ -298,7 +315,7 @@
         return Decision(request.attempt, Verdict.ADMIT)
 
     def _enqueue(self, request, lane, rank, now):
-        most = waiting.choose_length(lane.capacity, REACTION_SECONDS)
+        most = lane.choose_length()
         level = lane.shares.level(request)
         # What the entries would refuse, and no backend server has worked for,
         # may use a free slot or the first half of the queue and no more.
@@ -310,8 +327,8 @@
         return self._wait(request, lane, rank, now)
 
     def _wait(self, request, lane, rank, now):
-        mean = self._durations.mean(fairness.name_kind(request))
-        expires = max(now, request.deadline - mean)
+        least = self._durations.hope(fairness.name_kind(request))
+        expires = max(now, request.deadline - least)
         lane.queue.add(waiting.Waiter(request, rank, now, expires))
         return Decision(request.attempt, Verdict.WAIT, expires=expires)
 
@@ -391,7 +408,7 @@
         if mean <= 0.0:
             return
         lane.capacity = slots / mean
-        length = waiting.choose_length(lane.capacity, REACTION_SECONDS)
+        length = lane.choose_length()
         excess = lane.in_service + len(lane.queue) - slots
         error = length / 2.0 - max(excess, -length / 2.0)
         lane.trim(error / length, elapsed)
--- a/whinwinch/waiting.py
+++ b/whinwinch/waiting.py
@@ -124,17 +124,20 @@
     return (rank - level) / (top - level) if level < top else -1.0
 
 
-def choose_length(rate, reaction):
+def choose_length(rate, reaction, slack):
     """Return how many requests may wait.
 
     The queue has to hold what arrives by chance above the rate during the time
     that a changed level takes to act, or the variation itself is refused after
     the hops above have done their work. Arrivals and departures both vary, so
     the standard deviation is ``sqrt(2 * rate * reaction)``; three of them leave
-    about one refusal in a thousand.
+    about one refusal in a thousand. But a queue longer than callers can wait is
+    work for nobody: at its usual half length the wait is to be half the slack.
 
     Args:
         rate: Requests a second that the slots can serve.
         reaction: Seconds that a changed level takes to act.
+        slack: Seconds that arrivals can wait and still be in time.
     """
-    return max(4, math.ceil(3.0 * math.sqrt(2.0 * rate * reaction)))
+    varying = 3.0 * math.sqrt(2.0 * rate * reaction)
+    return max(4, math.ceil(min(varying, rate * slack)))
