--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -137,7 +137,12 @@
         if difference > CHANGE_DEVIATIONS * math.sqrt(expected / 2.0) + 1.0:
             self._long.counts[index] = self._short.counts[index]
             self._long.exposure[index] = exposure
-        return self._long.rate(index)
+        counted = self._long.counts[index]
+        # One standard deviation less than counted (half of a decaying count is
+        # its variance): on a count that chance made high, requests would be
+        # refused though there is room for them; one too low only fills the queue.
+        sure = 1.0 - 1.0 / math.sqrt(2.0 * counted + 1.0)
+        return self._long.rate(index) * sure
 
     def _highest_level(self, now):
         history = self._history
