Append claims more rarely when the log slows down, refuse what would wait too long

The log takes several hundred appends a second for everybody; at a fixed 20 ms spacing 300 busy gatekeepers would ask for 15,000. The spacing now is four times the smoothed time of an append.

--- a/test/logservice/test_claimer.py
+++ b/test/logservice/test_claimer.py
@@ -166,6 +166,47 @@
         self.assertEqual({each.verdict for each in verdicts}, {Verdict.WON})
         self.assertLessEqual(self.log.appends, 2)
 
+    def test_appends_become_rarer_when_the_log_slows_down(self):
+        """Hundreds of gatekeepers share one log, and it nears its limit.
+
+        If each went on at its own pace the log would fail for all of them.
+        """
+        one = self.start(run=self.make_slow_runner(0.1))
+
+        async def claim_for(seconds):
+            asks = []
+            while self.loop.time() < seconds:
+                ask = one.claim(make_key(), f"a{len(asks)}", 60.0)
+                asks.append(asyncio.ensure_future(ask))
+                await asyncio.sleep(0.01)
+            return await asyncio.gather(*asks)
+
+        verdicts = self.wait(claim_for(10.0))
+        self.assertEqual({each.verdict for each in verdicts}, {Verdict.WON})
+        self.assertLessEqual(self.log.appends, 10.0 / (3 * 0.1))
+
+    def test_a_claim_that_would_wait_too_long_is_refused_at_once(self):
+        """The log is so slow that the next append comes after the deadline.
+
+        The caller hears at once that it was not run, and nothing is released.
+        """
+        one = self.start(run=self.make_slow_runner(0.9), patience=5.0)
+        for number in range(8):
+            self.claim(one, make_key(), f"a{number}")
+        before = self.loop.time()
+        refused = self.claim(one, make_key(), "late", deadline=0.5)
+        self.assertIs(refused.verdict, Verdict.LOG_DOWN)
+        self.assertGreater(refused.retry_after, 0.5)
+        self.assertEqual(self.loop.time(), before)
+
+    def make_slow_runner(self, seconds):
+        async def run(function, *arguments):
+            if function == self.log.append:
+                await asyncio.sleep(seconds)
+            return function(*arguments)
+
+        return run
+
     def test_a_lost_answer_is_settled_by_reading_on(self):
         """The log takes the claim but its answer is lost.
 
@@ -198,16 +239,13 @@
         """
         one = self.start()
         key = make_key()
-        self.log.faults = ["lost"]
         append = self.log.append
 
         def append_and_fall(*arguments):
-            self.log.down = bool(self.log.faults)
-            try:
-                self.log.down = False
-                return append(*arguments)
-            finally:
-                self.log.down = not self.log.faults and self.log.appends == 1
+            self.log.down = True
+            self.log.append = append
+            self.log.records.append(Record(0, self.log.get_time(), arguments[1]))
+            raise LogUnavailable(None)
 
         self.log.append = append_and_fall
         self.assertIs(self.claim(one, key).verdict, Verdict.LOG_DOWN)
--- a/whinwinch/logservice/claimer.py
+++ b/whinwinch/logservice/claimer.py
@@ -39,8 +39,15 @@
 # Seconds for which a read waits at the log for a record that must come.
 READ_WAIT = 0.25
 
-# Seconds between the starts of two appends of one task; the first goes at once.
+# Seconds between the starts of two appends of one task, at least; the first one
+# goes at once. It grows with the time that an append takes: the log takes
+# several hundred a second for everybody, and slows down before it fails.
 SPACING = 0.02
+LONGEST_SPACING = 8.0
+SPACING_PER_APPEND = 4.0
+
+# Weight of the newest append in the smoothed time of an append.
+APPEND_WEIGHT = 0.25
 
 # Seconds without a read after which the task reads on before it appends, so
 # that it notices dropped records before its own claim is on its way.
@@ -111,6 +118,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._last_append = float("-inf")
+        self._append_time = 0.0
         self._last_read = float("-inf")
         self._down_until = float("-inf")
         self._pause = FIRST_PAUSE
@@ -186,6 +194,11 @@
             return ClaimVerdict(Verdict.ABANDONED)
         if now < self._down_until:
             return self._describe_outage(now)
+        # Told now, the caller can come back in time; told after the wait, it has
+        # held a slot for nothing and its claim has to be released.
+        wait = self._find_start() - now
+        if now + wait + self._append_time >= min(deadline, now + self._patience):
+            return ClaimVerdict(Verdict.LOG_DOWN, retry_after=wait)
         self._forget_asked()
         if len(self._queue) >= QUEUE or len(self._asked) >= ASKED:
             return ClaimVerdict(Verdict.LOG_DOWN, retry_after=self._patience)
@@ -235,10 +248,15 @@
             self._enqueue(Release(*claim))
 
     async def _wait_for_turn(self):
-        loop = asyncio.get_running_loop()
-        start = max(self._last_append + SPACING, self._down_until)
-        if start > loop.time():
-            await asyncio.sleep(start - loop.time())
+        wait = self._find_start() - asyncio.get_running_loop().time()
+        if wait > 0:
+            await asyncio.sleep(wait)
+
+    def _find_start(self):
+        """Return when the next append may begin, at the earliest."""
+        spacing = max(SPACING, SPACING_PER_APPEND * self._append_time)
+        start = self._last_append + min(LONGEST_SPACING, spacing)
+        return max(start, self._down_until)
 
     async def _take_turn(self):
         """Append one batch and read until its claims are decided."""
@@ -282,6 +300,8 @@
         except self._unavailable as error:
             await self._settle_lost(batch, error.written)
             return
+        took = asyncio.get_running_loop().time() - self._last_append
+        self._append_time += APPEND_WEIGHT * (took - self._append_time)
         try:
             await self._read_past(offset, skips)
         except self._unavailable:
