--- a/test/logservice/__init__.py
+++ b/test/logservice/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform's log."""
+"""Tests of the exchanges with the log service."""
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -1,9 +1,14 @@
 """The typed messages that the parts of a daemon, and daemons, pass around."""
 
 import enum
-import uuid
+import hashlib
+import os
 from typing import NamedTuple
 
+IDENTIFIER_BYTES = 16
+HASH_BYTES = 7
+HASHES = float(1 << 8 * HASH_BYTES)
+
 
 class Importance(enum.IntEnum):
     """How much a call matters; the higher, the later it is shed."""
@@ -35,6 +40,7 @@
     SHARE = "caller-share"
     DEADLINE = "deadline"
     LEAVING = "leaving"
+    NOT_READY = "not-ready"
     NO_ENDPOINT = "no-endpoint"
     NOT_SENT = "not-sent"
     BROKEN = "connection-broken"
@@ -59,6 +65,8 @@
         importance: Declared importance.
         deadline: Time of the event loop's clock after which no answer is wanted.
         key: Idempotency key of non-idempotent work, or "" for idempotent work.
+        repeatable: Whether it may be sent again after an unknown outcome. Known
+            to the hop that retries; it isn't sent on.
         budget: Retries that this attempt and all below it may cause, at most.
         caller: Name of the caller, for fairness.
         via: Services passed so far, the entry's first.
@@ -75,6 +83,7 @@
     importance: Importance
     deadline: float
     key: str = ""
+    repeatable: bool = True
     budget: int = 0
     caller: str = ""
     via: tuple[str, ...] = ()
@@ -154,7 +163,7 @@
 
 def new_identifier():
     """Return a new random identifier for a request, an attempt or a daemon."""
-    return uuid.uuid4().hex
+    return os.urandom(IDENTIFIER_BYTES).hex()
 
 
 def rank_request(request):
@@ -175,5 +184,5 @@
     The standard `hash` is salted for each process, which would make every
     hop shed different requests.
     """
-    digest = uuid.uuid5(uuid.NAMESPACE_OID, root).int
-    return (digest >> 64) / float(1 << 64)
+    digest = hashlib.blake2b(root.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big") / HASHES
--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -47,6 +47,7 @@
         Reason.QUEUE,
         Reason.DEADLINE,
         Reason.LEAVING,
+        Reason.NO_ENDPOINT,
         Reason.NOT_SENT,
         Reason.BROKEN,
         Reason.NONE,
@@ -54,7 +55,7 @@
 )
 
 # The endpoint is gone, not full: waiting before the try elsewhere gains nothing.
-GONE_REASONS = frozenset({Reason.LEAVING, Reason.NOT_SENT})
+GONE_REASONS = frozenset({Reason.LEAVING, Reason.NO_ENDPOINT, Reason.NOT_SENT})
 
 
 class RetryDecision(NamedTuple):
@@ -114,7 +115,7 @@
         return "refused deeper down"
     # Nobody knows whether it ran. A second attempt would have a second claim
     # refused at best, and pay a poet twice if that check were ever at fault.
-    if answer.outcome is Outcome.UNKNOWN and request.key:
+    if answer.outcome is Outcome.UNKNOWN and (request.key or not request.repeatable):
         return "non-idempotent work of unknown outcome"
     if answer.reason is Reason.LEVEL:
         return find_level_obstacle(request, tries, elsewhere)
