--- a/test/operators/test_pages.py
+++ b/test/operators/test_pages.py
@@ -7,7 +7,7 @@
 
 from whinwinch import commands, decisions, messages, resources, settings
 from whinwinch.callers import answers, headers
-from whinwinch.operators import access, api, client, forms
+from whinwinch.operators import access, api, client, forms, inputs, problems
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 
@@ -98,7 +98,9 @@
 
     def test_every_code_of_the_api(self):
         page = read_page("reference/api.md")
-        source = pathlib.Path(api.__file__).read_text(encoding="utf-8")
+        modules = (api, inputs, problems)
+        files = [pathlib.Path(module.__file__) for module in modules]
+        source = "".join(file.read_text(encoding="utf-8") for file in files)
         codes = set(re.findall(r'ApiError\(\s*\d{3},\s*"([a-z-]+)"', source))
         codes |= set(re.findall(r'code = "([a-z-]+)"', source))
         self.assertGreater(len(codes), 10)
--- a/whinwinch/operators/api.py
+++ b/whinwinch/operators/api.py
@@ -9,15 +9,15 @@
 import functools
 import json
 import time as clocks
-import uuid
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import cherrypy
 from absl import logging
 
-from .. import configuration, errors, resources
-from . import access, forms, store, watch
+from .. import configuration, resources
+from . import access, forms, inputs, problems, store, watch
+from .problems import ApiError
 
 JSON_TYPE = "application/json"
 LINES_TYPE = "application/x-ndjson"
@@ -25,10 +25,10 @@
 # Seconds. An answer of the log takes milliseconds; a request thread is not held
 # for longer than a person waits.
 PROPOSE_TIMEOUT = 5.0
-RETRY_AFTER = 5
-MAX_KEY = 128
 MAX_HISTORY_LIMIT = 1000
 DEFAULT_HISTORY_LIMIT = 100
+# Seconds after which a place for a watch may have become free.
+WATCH_PAUSE = 5
 
 
 class Parts(NamedTuple):
@@ -62,34 +62,6 @@
     propose_timeout: float = PROPOSE_TIMEOUT
 
 
-class ApiError(errors.UserError):
-    """An error that is answered in its JSON form.
-
-    Args:
-        status: HTTP status.
-        code: Short fixed text for programs.
-        message: What is wrong, for people.
-        findings: Iterable of `errors.Finding`.
-        retry_after: Seconds for ``Retry-After``, 0 for none.
-        **details: Further fields of `forms.ErrorForm`.
-    """
-
-    def __init__(
-        self, status, code, message, findings=(), retry_after=0, **details: Any
-    ):
-        super().__init__(message)
-        self.status = status
-        self.retry_after = retry_after
-        self.form: forms.ErrorForm = {
-            "code": code,
-            "message": message,
-            "findings": [
-                forms.FindingForm(**finding._asdict()) for finding in findings
-            ],
-            **details,
-        }
-
-
 def create_application(parts):
     """Return the resource API, to be mounted at `forms.MOUNT`.
 
@@ -141,20 +113,21 @@
         """Return a service, the list of all, or a watch."""
         _require_ready(self._store)
         if name is not None:
-            _check_query(query, ())
+            inputs.check_query(query, ())
             return self._answer_one(name)
         if "watch" in query:
             return self._answer_watch(query)
-        _check_query(query, ())
+        inputs.check_query(query, ())
         return self._answer_list()
 
     def PUT(self, name, **query):
         """Create or replace a service."""
         _require_ready(self._store)
-        _check_query(query, ())
-        body = _check_document(_read_body(), name, self._parts.max_key_window)
+        inputs.check_query(query, ())
+        document = inputs.read_body()
+        body = inputs.check_document(document, name, self._parts.max_key_window)
         present = self._find(name)
-        condition = _read_condition(present)
+        condition = inputs.read_condition(present)
         verdict = self._propose(name, body, condition, present)
         if verdict.resource is None:
             # A repeated request: the change was accepted before, and somebody
@@ -165,9 +138,9 @@
     def DELETE(self, name, **query):
         """Delete a service."""
         _require_ready(self._store)
-        _check_query(query, ())
+        inputs.check_query(query, ())
         present = self._find(name)
-        condition = _read_condition(present)
+        condition = inputs.read_condition(present)
         verdict = self._propose(name, None, condition, present)
         return _encode(forms.ChangeAnswer(name=name, version=verdict.version))
 
@@ -177,7 +150,7 @@
     def _answer_one(self, name):
         resource = self._find(name)
         if resource is None:
-            raise _not_found(name)
+            raise problems.describe_missing(name)
         return _answer_service(resource)
 
     def _answer_list(self):
@@ -188,7 +161,7 @@
         return _encode(forms.ServiceList(version=view.version, services=services))
 
     def _answer_watch(self, query):
-        wanted = _parse_watch(query, self._store)
+        wanted = inputs.parse_watch(query, self._store)
         if self._store.closed:
             raise ApiError(503, "stopping", "this daemon stops", retry_after=1)
         try:
@@ -197,7 +170,7 @@
             raise ApiError(410, "version-too-old", str(error)) from error
         if not self._watchers.try_enter():
             problem = f"this daemon has {self._watchers.limit} watches already"
-            raise ApiError(429, "too-many-watches", problem, retry_after=RETRY_AFTER)
+            raise ApiError(429, "too-many-watches", problem, retry_after=WATCH_PAUSE)
         # The place is given back when the request ends, however it does. A
         # `finally` in the stream would not run for a client that leaves before
         # the first line, and the places would be used up one by one.
@@ -212,7 +185,7 @@
         """Propose a change; return the verdict of one that was accepted."""
         author = cherrypy.serving.request.login
         change = configuration.Change(
-            change_id=_choose_change_id(author, name, body),
+            change_id=inputs.choose_change_id(author, name, body),
             kind=resources.KIND_SERVICE,
             name=name,
             replaces=replaces,
@@ -222,9 +195,9 @@
         )
         verdict = self._store.find_verdict(change)
         if verdict is None and body is None and not replaces:
-            raise _not_found(name)
+            raise problems.describe_missing(name)
         if verdict is None and present is not None and 0 < replaces < present.version:
-            raise _conflict(name, present)
+            raise problems.describe_conflict(name, present)
         if verdict is None:
             verdict = self._store.propose(change, self._parts.propose_timeout)
         logging.info(
@@ -237,9 +210,9 @@
             verdict.version,
         )
         if verdict.decision is store.Decision.REJECTED:
-            raise _conflict(name, self._find(name), change.change_id)
+            raise problems.describe_conflict(name, self._find(name), change.change_id)
         if verdict.decision is not store.Decision.ACCEPTED:
-            raise _undecided(verdict, change.change_id)
+            raise problems.describe_undecided(verdict, change.change_id)
         return verdict
 
 
@@ -253,8 +226,8 @@
 
     def GET(self, **query):
         """Return the changes read by this daemon, the newest first."""
-        _check_query(query, ("limit", "name", "change_id"))
-        limit = _parse_number(
+        inputs.check_query(query, ("limit", "name", "change_id"))
+        limit = inputs.parse_number(
             query, "limit", DEFAULT_HISTORY_LIMIT, MAX_HISTORY_LIMIT, int
         )
         found = [
@@ -277,7 +250,7 @@
 
     def GET(self, **query):
         """Return the status of this daemon."""
-        _check_query(query, ())
+        inputs.check_query(query, ())
         return _encode(self._find_status())
 
 
@@ -291,7 +264,7 @@
 
     def POST(self, **query):
         """Begin to leave and return the status; asking twice does no harm."""
-        _check_query(query, ())
+        inputs.check_query(query, ())
         if self._parts.begin_drain is None:
             raise ApiError(501, "no-drain", "this daemon can't be drained from here")
         logging.info("drain author=%s", cherrypy.serving.request.login)
@@ -310,7 +283,7 @@
 
     def GET(self, **query):
         """Return the metrics as text."""
-        _check_query(query, ())
+        inputs.check_query(query, ())
         cherrypy.serving.response.headers["Content-Type"] = "text/plain; charset=utf-8"
         return self._render_metrics().encode()
 
@@ -396,171 +369,3 @@
         changed=resource.changed,
         spec=resource.body,
     )
-
-
-def _not_found(name):
-    return ApiError(404, "not-found", f"there is no resource for service {name!r}")
-
-
-def _conflict(name, present, change_id=""):
-    version = present.version if present is not None else 0
-    state = f"is at version {version}" if version else "does not exist"
-    return ApiError(
-        412,
-        "conflict",
-        f"service {name!r} {state}: read it again and decide anew",
-        present_version=version,
-        change_id=change_id,
-    )
-
-
-def _undecided(verdict, change_id):
-    """Return the error of a change that was not accepted and not rejected."""
-    maybe = verdict.decision is store.Decision.UNKNOWN
-    if maybe:
-        code = "unknown"
-        message = (
-            f"{verdict.reason}: the change may be in force already or later; "
-            "look for its change_id in the history"
-        )
-    else:
-        code = "log-down"
-        message = f"{verdict.reason}: the change did not and will not take effect"
-    return ApiError(
-        503,
-        code,
-        message,
-        retry_after=RETRY_AFTER,
-        may_have_taken_effect=maybe,
-        change_id=change_id,
-    )
-
-
-def _bad_request(findings):
-    return ApiError(400, "bad-request", "the request has errors", findings)
-
-
-def _check_query(query, known):
-    findings = [
-        errors.Finding(
-            name, "is not a known parameter" if name not in known else "twice"
-        )
-        for name, value in query.items()
-        if name not in known or not isinstance(value, str)
-    ]
-    if findings:
-        raise _bad_request(findings)
-
-
-def _parse_number(query, name, default, high, kind):
-    """Return a number from the query, between 0 and a limit."""
-    text = query.get(name)
-    if text is None:
-        return default
-    try:
-        value = kind(text)
-    except ValueError:
-        value = -1
-    if not 0 <= value <= high:
-        problem = f"has to be a number from 0 to {high:g}"
-        raise _bad_request([errors.Finding(name, problem)])
-    return value
-
-
-def _parse_watch(query, resource_store):
-    _check_query(query, ("watch", "version", "timeout"))
-    if query["watch"] not in ("true", "1"):
-        raise _bad_request([errors.Finding("watch", "has to be true")])
-    version = _parse_number(query, "version", resource_store.version, 2**63, int)
-    timeout = _parse_number(
-        query, "timeout", watch.DEFAULT_TIMEOUT, watch.MAX_TIMEOUT, float
-    )
-    return watch.Watch(version, timeout)
-
-
-def _choose_change_id(author, name, body):
-    """Return the identifier of a change, the same for a repeated request.
-
-    It depends on the content too. A tool that used one key for two changes
-    would otherwise be told that the second was accepted, which nobody made.
-    """
-    key = cherrypy.serving.request.headers.get(forms.REPEAT_HEADER)
-    if key is None:
-        return uuid.uuid4().hex
-    if not 0 < len(key) <= MAX_KEY:
-        problem = f"has to have 1 to {MAX_KEY} letters"
-        raise _bad_request([errors.Finding(forms.REPEAT_HEADER, problem)])
-    content = json.dumps([key, author, name, body], sort_keys=True)
-    return uuid.uuid5(uuid.NAMESPACE_OID, content).hex
-
-
-def _read_condition(present):
-    """Return the version that the request says it replaces, 0 for none."""
-    headers = cherrypy.serving.request.headers
-    match = headers.get("If-Match")
-    none_match = headers.get("If-None-Match")
-    version = present.version if present is not None else 0
-    if match is not None and none_match is not None:
-        problem = "can't stand beside If-Match"
-        raise _bad_request([errors.Finding("If-None-Match", problem)])
-    if none_match is not None:
-        if none_match.strip() != "*":
-            raise _bad_request([errors.Finding("If-None-Match", "has to be *")])
-        return 0
-    if match is None or match.strip() == "*":
-        if match is not None and present is None:
-            raise ApiError(412, "conflict", "it does not exist", present_version=0)
-        return version
-    return _parse_tag(match.strip())
-
-
-def _parse_tag(tag):
-    number = tag[1:-1]
-    quoted = len(tag) > 2 and tag[0] == tag[-1] == '"'
-    if not quoted or not (number.isascii() and number.isdigit()) or len(number) > 19:
-        problem = 'has to be * or one version in quotes, as in "12"'
-        raise _bad_request([errors.Finding("If-Match", problem)])
-    return int(number)
-
-
-def _read_body():
-    """Return the decoded JSON body."""
-    limit = resources.MAX_RESOURCE_BYTES
-    data = cherrypy.serving.request.rfile.read(limit + 1)
-    if len(data) > limit:
-        problem = f"the body has more than {limit} bytes"
-        raise ApiError(413, "too-large", problem)
-    try:
-        return json.loads(data, object_pairs_hook=_reject_repeated)
-    except (ValueError, RecursionError) as error:
-        problem = f"is not JSON: {error}"
-        raise _bad_request([errors.Finding("document", problem)]) from error
-
-
-def _reject_repeated(pairs):
-    """Return an object without repeated names.
-
-    JSON allows a name twice and the last wins; an operator who wrote two marks
-    for one call would not see which is in force.
-    """
-    form = dict(pairs)
-    if len(form) < len(pairs):
-        names = [name for name, _ in pairs]
-        repeated = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"the name {repeated[:64]!r} stands twice in one object")
-    return form
-
-
-def _check_document(document, name, max_key_window):
-    """Return the ``spec`` of a right document."""
-    findings = []
-    try:
-        resources.check_resource(document, max_key_window)
-    except errors.InputErrors as error:
-        findings.extend(error.findings)
-    if isinstance(document, dict) and document.get("name", name) != name:
-        problem = f"is not the {name!r} of the URL"
-        findings.append(errors.Finding("name", problem))
-    if findings:
-        raise _bad_request(findings)
-    return document["spec"]
