--- a/bench/network.py
+++ b/bench/network.py
@@ -128,5 +128,7 @@
     found = []
     for number, endpoint in enumerate(endpoints):
         source = random.Random(number)
-        found.append(membership.Membership(endpoint, source, table=table.copy()))
+        members = membership.Membership(endpoint, source, table=table.copy())
+        members.take_page(membership.MemberPage((), membertable.BUCKETS), 0.0)
+        found.append(members)
     return found
