--- a/whinwinch/callers/app.py
+++ b/whinwinch/callers/app.py
@@ -4,12 +4,15 @@
 dispatch alone costs a good part of the added time allowed.
 """
 
-from ..messages import Outcome, Reason
+from .. import hints, messages
+from ..messages import Answer, Outcome, Reason
+from ..router import Routed
 from . import answers, bodies, headers
 
 # Threads kept free of calls, so that there is always one to say no at once.
 # Without them a caller would wait unanswered in the server's accept queue.
 RESERVED_SHARE = 0.1
+FULL_PRESSURE = 1.0
 
 
 def build_app(route, max_body, threads, count_in_flight):
@@ -29,7 +32,8 @@
             return _respond_findings(start_response, body.status, [body.finding])
         parsed = headers.parse_call(environ, body.data)
         if parsed.findings:
-            return _respond_findings(start_response, 400, parsed.findings)
+            identifier = parsed.incoming.identifier
+            return _respond_findings(start_response, 400, parsed.findings, identifier)
         if count_in_flight() >= most_in_flight:
             return _respond_full(start_response, parsed.incoming)
         return _respond(start_response, route(parsed.incoming))
@@ -50,8 +54,9 @@
     return _send(start_response, answers.choose_status(answer), pairs, body)
 
 
-def _respond_findings(start_response, status, findings):
+def _respond_findings(start_response, status, findings, identifier=""):
     pairs = [
+        ("X-Request-Id", identifier),
         ("Whinwinch-Outcome", Outcome.NOT_RUN.value),
         ("Whinwinch-Reason", Reason.BAD_REQUEST.value),
         ("Content-Type", "application/json"),
@@ -61,17 +66,15 @@
 
 
 def _respond_full(start_response, incoming):
-    pairs = [
-        ("Whinwinch-Outcome", Outcome.NOT_RUN.value),
-        ("Whinwinch-Reason", Reason.QUEUE.value),
-        ("Retry-After", "1"),
-        ("X-Request-Id", incoming.identifier),
-        ("Content-Type", "application/json"),
-    ]
-    body = answers.encode_json(
-        {"error": {"outcome": "not-run", "reason": "queue-full"}}
+    attempt = messages.new_identifier()
+    answer = Answer(
+        attempt,
+        Outcome.NOT_RUN,
+        Reason.QUEUE,
+        status=503,
+        retry_after=hints.choose_retry_after(FULL_PRESSURE, attempt),
     )
-    return _send(start_response, 503, pairs, body)
+    return _respond(start_response, Routed(answer, incoming.identifier or attempt, 0))
 
 
 def _send(start_response, status, pairs, body):
--- a/whinwinch/callers/headers.py
+++ b/whinwinch/callers/headers.py
@@ -99,6 +99,7 @@
         findings.append(
             Finding("X-Request-Id", "must be 1 to 128 of A-Z a-z 0-9 . _ : -")
         )
+        return ""
     return text
 
 
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -31,9 +31,12 @@
         log: `logservice.client.LogClient`.
         flights: `flight.FlightCounter`.
         tick: Called at every tick with the loop's time.
+        count_claim: Called with the verdict on each claim, as text.
     """
 
-    def __init__(self, loop, settings, own, membership, log, flights, tick):
+    def __init__(
+        self, loop, settings, own, membership, log, flights, tick, count_claim
+    ):
         self._loop = loop
         self._settings = settings
         self._own = own
@@ -41,6 +44,7 @@
         self._log = log
         self._flights = flights
         self._tick = tick
+        self._count_claim = count_claim
         self._registry = Registry(settings.lease)
         self._lifecycle = lifecycle.Lifecycle()
         self._claimers = {}
@@ -82,12 +86,14 @@
         """Return the log's verdict on a claim; blocks; for request threads."""
         future = asyncio.run_coroutine_threadsafe(self._claim(request), self._loop)
         try:
-            return future.result(CLAIM_TIMEOUT)
+            verdict = future.result(CLAIM_TIMEOUT)
         except TimeoutError:
             future.cancel()
-            return claims.ClaimVerdict(
+            verdict = claims.ClaimVerdict(
                 claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
             )
+        self._count_claim(verdict.verdict.value)
+        return verdict
 
     def note_end(self, request, answer):
         """Note in the log how claimed work ended; for request threads."""
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -6,6 +6,7 @@
 import math
 import random
 import signal
+import time
 from typing import NamedTuple
 
 import grpc
@@ -37,7 +38,7 @@
 from .daemons import server as peer_server
 from .guarded import Guarded
 from .lifecycle import Phase, Way
-from .logservice import follower, joining, readers, relay, streams
+from .logservice import follower, joining, readers, relay, snapshots, streams
 from .logservice.client import LogClient, LogUnavailable
 from .messages import Answer, Outcome, Reason
 from .operators import access, api
@@ -135,6 +136,7 @@
     ledger = Guarded(retries.Ledger())
 
     config = build_relay(store)
+    counts = metrics.Metrics()
 
     def tick(now):
         with ledger as state:
@@ -151,14 +153,16 @@
         store=store,
         relay=config,
         flights=flights,
-        metrics=metrics.Metrics(),
+        metrics=counts,
         running=running.Running(),
         ledger=ledger,
         levels=Guarded(levels.Levels()),
         peers=peer_client.PeerClient(
             loop.time, access.choose_peer_token(settings.peer_token)
         ),
-        control=control.Control(loop, settings, own, members, log, flights, tick),
+        control=control.Control(
+            loop, settings, own, members, log, flights, tick, counts.count_claim
+        ),
     )
 
 
@@ -300,10 +304,14 @@
 
     def note(incoming, routed, seconds):
         answer = routed.answer
-        parts.metrics.record_latency(incoming.service, routed.importance, seconds)
-        parts.metrics.count_outcome(incoming.service, answer.outcome, answer.reason)
-        for _ in range(routed.retries):
-            parts.metrics.count_retry(incoming.service)
+        parts.metrics.note_call(
+            incoming.service,
+            routed.importance,
+            answer.outcome,
+            answer.reason,
+            seconds,
+            routed.retries,
+        )
 
     return note
 
@@ -439,6 +447,7 @@
             store=parts.store,
             operators=operators,
             find_status=lambda: describe_status(parts, gatekeeper),
+            begin_drain=parts.control.drain_soon,
             render_metrics=parts.metrics.render_metrics,
             max_key_window=parts.settings.key_window,
         )
@@ -481,6 +490,7 @@
         for task in (
             gossip.run_gossip(talk),
             follow_configuration(parts, talk),
+            write_snapshots(parts),
             joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
         )
     ]
@@ -523,16 +533,30 @@
 async def follow_configuration(parts, talk):
     """Read the configuration from the log while it is this daemon's turn."""
     read, _ = build_stream(parts, streams.CONFIGURATION)
+    await follower.run_follower(
+        read, parts.relay, lambda now: is_reader(parts, now), talk.wake
+    )
 
-    def is_reader(now):
-        return readers.is_reader(
-            parts.members.members(),
-            parts.members.own,
-            streams.CONFIGURATION,
-            parts.relay.find_age(now),
-        )
 
-    await follower.run_follower(read, parts.relay, is_reader, talk.wake)
+async def write_snapshots(parts):
+    """Write snapshots of the configuration while this daemon reads the log."""
+    _, append = build_stream(parts, streams.CONFIGURATION)
+    await snapshots.run_snapshots(
+        lambda: parts.store.plan_snapshot(parts.settings.log_retention, time.time()),
+        parts.store.encode_snapshot,
+        append,
+        lambda: is_reader(parts, parts.loop.time()),
+    )
+
+
+def is_reader(parts, now):
+    """Return whether this daemon reads the configuration from the log."""
+    return readers.is_reader(
+        parts.members.members(),
+        parts.members.own,
+        streams.CONFIGURATION,
+        parts.relay.find_age(now),
+    )
 
 
 def stop_servers(parts, peers):
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -250,6 +250,22 @@
         with self._news:
             return self._configuration.encode_snapshot()
 
+    def plan_snapshot(self, retention, wall):
+        """Return whether a snapshot is due, as a `configuration.SnapshotPlan`.
+
+        Args:
+            retention: Seconds for which the log keeps records.
+            wall: Wall-clock time in seconds, near enough to the log's.
+        """
+        with self._news:
+            return configuration.plan_snapshot(
+                self._configuration.offset,
+                self._configuration.snapshot_covers,
+                self._configuration.snapshot_time or wall,
+                wall,
+                retention,
+            )
+
     def propose(self, change, timeout):
         """Append a change to the log and wait until its fate has been read.
 
