Compare an endpoint's latency with that of the same call elsewhere

Cause: an endpoint that had got a long job, or whose queue was long for a moment, was taken for a slow one and set aside, and with a probe every 2 s at most it stayed so. Slots claimed but not there attracted work; cost now rises with the square of the slowness seen. Long jobs keep free of two instead of three standard deviations plus one of the short ones' slots, and the reserve stands before the first long job has ended.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -255,7 +255,7 @@
 
     def _observe(self, daemon, sent, answer, began):
         now = self.mesh.loop.now
-        self.placement.observe(daemon, answer, now - began, now)
+        self.placement.observe(daemon, answer, now - began, now, sent)
         self.levels.learn(sent.service, sent.call, answer.load, now, sent)
 
     def _decide_retry(self, sent, answer, holder, tries):
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -287,7 +287,7 @@
 def limit_long(limit, short_busy):
     """Return how many slots long jobs may hold.
 
-    The short ones keep what they use on average and three standard deviations
+    The short ones keep what they use on average and two standard deviations
     of its chance variation (a Poisson number's is its square root). An eighth
     of the slots is always open to long jobs, so that they aren't starved.
 
@@ -295,5 +295,5 @@
         limit: Present limit on requests in service.
         short_busy: Slots that short jobs would use on average.
     """
-    kept = math.ceil(short_busy + 3.0 * math.sqrt(short_busy)) + 1
+    kept = math.ceil(short_busy + 2.0 * math.sqrt(short_busy))
     return max(1, limit // 8, limit - kept)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -389,11 +389,8 @@
             return
         self._controlled = now
         limit = self._limit.value
-        if self._long.mean > 0.0:
-            self._measure_short(now)
-            reserved = min(self._long_limit(), self._long.in_service)
-        else:
-            reserved = 0
+        self._measure_short(now)
+        reserved = min(self._long_limit(), self._long.in_service)
         self._update(self._short, max(1, limit - reserved), elapsed, now)
         self._update(self._long, self._long_limit(), elapsed, now)
 
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -15,6 +15,7 @@
 when all look bad work still goes out.
 """
 
+import collections
 import math
 from typing import NamedTuple
 
@@ -24,10 +25,14 @@
 SLOW_RATIO = 2.0
 FAILING_SHARE = 0.3
 # One probe in so many choices: it must not show in the 99th percentile.
-PROBE_CHOICES = 400
-PROBE_SECONDS = 2.0
+PROBE_CHOICES = 250
+PROBE_WEIGHT = 0.5
+FORGET_SECONDS = 20.0
 LATENCY_WEIGHT = 0.2
-LATENCY_WEIGHT_MANY = 0.1
+FAILING_WEIGHT = 0.1
+USUAL_WEIGHT = 0.05
+SHORTEST_SECONDS = 1e-6
+MOST_KINDS = 256
 # Answers after which an endpoint counts as known.
 KNOWN_ANSWERS = 5
 # A load report older than this says nothing any more.
@@ -60,15 +65,20 @@
     def __init__(self, now):
         self.used = now
         self.outstanding = 0
-        self.latency = 0.0
+        self.slowness = 1.0
+        self.slowness_time = now
         self.answers = 0
         self.failing = 0.0
         self.report = messages.Load()
         self.reported = -math.inf
         self.full = -math.inf
         self.distrusted = -math.inf
-        self.probed = now
-        self.oldest = None
+
+    def forget_slowness(self, now):
+        """Let what was seen of the latency count less as time passes."""
+        kept = math.exp(-(now - self.slowness_time) / FORGET_SECONDS)
+        self.slowness = 1.0 + (self.slowness - 1.0) * kept
+        self.slowness_time = now
 
 
 class Placement:
@@ -83,8 +93,8 @@
         self._zone = zone
         self._random = random
         self._records = {}
+        self._usual = collections.OrderedDict()
         self._pruned = -math.inf
-        self._choices = 0
 
     def choose(self, request, endpoints, now, exclude=frozenset()):
         """Choose the endpoint for an attempt.
@@ -103,9 +113,8 @@
         open_ = [e for e in present if e.daemon not in exclude]
         if not open_:
             return Choice(None, "no endpoint left")
-        self._choices += 1
-        good, aside = self._split(open_, present, now)
-        probe = self._choose_probe(aside, now)
+        good, aside = self._split(open_, present)
+        probe = self._choose_probe(aside)
         if probe is not None:
             return Choice(probe, "probe of one set aside")
         first, second = self._draw(good)
@@ -117,11 +126,9 @@
     def start(self, daemon_id, now):
         """Note that an attempt is sent to a daemon."""
         record = self._find(daemon_id, now)
-        if record.outstanding == 0:
-            record.oldest = now
         record.outstanding += 1
 
-    def observe(self, daemon_id, answer, latency, now):
+    def observe(self, daemon_id, answer, latency, now, request=None):
         """Take the answer of an attempt.
 
         Args:
@@ -129,10 +136,11 @@
             answer: The `messages.Answer`, made up by the sender if none came.
             latency: Seconds from the sending to the answer.
             now: Time of the loop's clock in seconds.
+            request: The request, so that its latency is compared with that of
+                the same call at other endpoints.
         """
         record = self._find(daemon_id, now)
         record.outstanding = max(0, record.outstanding - 1)
-        record.oldest = now if record.outstanding else None
         if answer.load.limit > 0:
             record.report = answer.load
             record.reported = now
@@ -141,13 +149,44 @@
             return
         failed = is_failure(answer)
         record.answers += 1
-        weight = max(1.0 / record.answers, LATENCY_WEIGHT_MANY)
+        weight = max(1.0 / record.answers, FAILING_WEIGHT)
         record.failing += weight * (failed - record.failing)
         # A quick failure says nothing of how long the work takes: counted, it
         # would draw more work to the endpoint that fails.
-        if not failed or latency > record.latency:
-            weight = max(1.0 / record.answers, LATENCY_WEIGHT)
-            record.latency += weight * (latency - record.latency)
+        served = latency * estimate_served(answer.load)
+        slowness = served / self._note_latency(served, failed, request)
+        if not failed or slowness > record.slowness:
+            self._note_slowness(record, slowness, now)
+
+    def _note_slowness(self, record, slowness, now):
+        """Count one answer; good news of one set aside counts for more.
+
+        One set aside answers few calls, all of them probes. At the usual weight
+        it would be kept from work long after it has recovered.
+        """
+        record.forget_slowness(now)
+        was_slow = record.slowness > SLOW_RATIO > slowness
+        weight = PROBE_WEIGHT if was_slow else LATENCY_WEIGHT
+        weight = max(1.0 / record.answers, weight)
+        record.slowness += weight * (slowness - record.slowness)
+
+    def _note_latency(self, latency, failed, request):
+        """Return the usual latency of a call, with one more answer counted.
+
+        Slowness is measured against the same call: otherwise an endpoint that
+        happens to have got a long job would be taken for a slow one.
+        """
+        kind = (request.service, request.call) if request else None
+        usual = self._usual.pop(kind, latency)
+        if not failed:
+            # In proportion, and at most by half, so that one answer of a slow
+            # endpoint doesn't make all others look quick.
+            ratio = min(latency / usual, 2.0) if usual > 0.0 else 1.0
+            usual *= 1.0 + USUAL_WEIGHT * (ratio - 1.0)
+        self._usual[kind] = usual = max(usual, SHORTEST_SECONDS)
+        while len(self._usual) > MOST_KINDS:
+            self._usual.popitem(last=False)
+        return usual
 
     def distrust(self, daemon_id, now):
         """Lower the trust in a daemon of which bad news were heard."""
@@ -158,7 +197,7 @@
             return
         if answer.reason is messages.Reason.NOT_SENT:
             record.answers += 1
-            record.failing += LATENCY_WEIGHT * (1.0 - record.failing)
+            record.failing += FAILING_WEIGHT * (1.0 - record.failing)
             return
         record.full = now
 
@@ -180,10 +219,10 @@
             if record.outstanding or now - record.used < DEPARTED_SECONDS
         }
 
-    def _split(self, open_, present, now):
+    def _split(self, open_, present):
         """Split endpoints into good ones and ones set aside."""
         typical = self._find_typical(present)
-        badness = {e.daemon: self._judge(e, typical, now) for e in present}
+        badness = {e.daemon: self._judge(e, typical) for e in present}
         bad = sorted(
             (e.daemon for e in present if badness[e.daemon] > 1.0),
             key=badness.get,
@@ -197,36 +236,30 @@
         return good, aside
 
     def _find_typical(self, endpoints):
-        """Return the lower median latency of the endpoints known, or 0."""
+        """Return the lower median slowness of the endpoints known, or 0."""
         known = sorted(
-            record.latency
+            record.slowness
             for e in endpoints
             if (record := self._records.get(e.daemon)) is not None
             and record.answers >= KNOWN_ANSWERS
-            and record.latency > 0.0
         )
         return known[(len(known) - 1) // 2] if known else 0.0
 
-    def _judge(self, endpoint, typical, now):
+    def _judge(self, endpoint, typical):
         """Return how bad an endpoint looks; above 1 it may be set aside."""
         record = self._records.get(endpoint.daemon)
-        if record is None:
-            # A newcomer among known ones may be cold: it starts with probes.
+        if record is None or not record.answers:
             return 0.0
-        latency = record.latency if record.answers else 0.0
-        if record.oldest is not None:
-            latency = max(latency, now - record.oldest)
-        slow = latency / (SLOW_RATIO * typical) if typical > 0.0 else 0.0
+        slow = record.slowness / (SLOW_RATIO * typical) if typical > 0.0 else 0.0
         return max(slow, record.failing / FAILING_SHARE)
 
-    def _choose_probe(self, aside, now):
+    def _choose_probe(self, aside):
         """Return one set aside that is due for a probe, or None."""
         for endpoint in aside:
             record = self._records[endpoint.daemon]
-            if record.outstanding or now - record.probed < PROBE_SECONDS:
+            if record.outstanding:
                 continue
             if self._random.random() * PROBE_CHOICES < 1.0:
-                record.probed = now
                 return endpoint
         return None
 
@@ -247,7 +280,9 @@
             reported = record.report.in_service + record.report.waiting
             busy = max(busy, reported)
             slots = record.report.limit
-        cost += busy / slots
+        # Slots are claimed, latency is seen: one that claims more slots than it
+        # has looks empty but slow, and the square lets what is seen win.
+        cost += busy / slots * max(record.slowness, 1.0) ** 2
         if now - record.full < FULL_SECONDS:
             cost += 1.0
         if now - record.distrusted < DISTRUST_SECONDS:
@@ -255,6 +290,17 @@
         return cost
 
 
+def estimate_served(load):
+    """Return the share of a latency that was not spent in the queue, roughly.
+
+    A queue shows in the load and is evened out by cost; only an endpoint that
+    takes longer for the work itself is to be set aside.
+    """
+    if load.waiting == 0:
+        return 1.0
+    return max(load.in_service, 1) / (max(load.in_service, 1) + load.waiting)
+
+
 def is_failure(answer):
     """Return whether an answer shows that the endpoint failed its work."""
     if answer.deeper:
