Let no newcomer pass for a peer with the whole member list

After 20 s without a page what is known counts as the list, since in the start of a whole mesh nobody has it.

--- a/bench/network.py
+++ b/bench/network.py
@@ -129,6 +129,6 @@
     for number, endpoint in enumerate(endpoints):
         source = random.Random(number)
         members = membership.Membership(endpoint, source, table=table.copy())
-        members.take_page(membership.MemberPage((), membertable.BUCKETS), 0.0)
+        members.finish_pages()
         found.append(members)
     return found
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -523,9 +523,7 @@
     log = CountingLog([client.Record(0, 0.0, data)])
     for number, address in enumerate(addresses):
         old = mesh.daemons.pop(address).members.own.endpoint
-        fresh = old._replace(
-            daemon=f"{random.Random(-1 - number).getrandbits(128):032x}"
-        )
+        fresh = old._replace(daemon=uuid.uuid5(uuid.NAMESPACE_OID, address).hex)
         source = random.Random(number)
         mesh.add(membership.Membership(fresh, source), build_relay())
     newcomers = [mesh.daemons[address] for address in addresses]
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -308,6 +308,21 @@
         self.assertEqual(len(newcomer), 301)
         self.assertGreater(pages, 2)
 
+    def test_newcomer_does_not_pass_for_the_whole_list(self):
+        """Daemons that start together ask each other for the list.
+
+        One that took a newcomer's few members for all would answer
+        "no endpoint" for services that are there.
+        """
+        other = self.build_newcomer(1001)
+        newcomer = self.build_newcomer()
+        newcomer.take_page(other.give_page(0, 0.0), 0.0)
+        self.assertEqual(newcomer.next_page, 0)
+        self.assertEqual(len(newcomer), 2)
+        other.finish_pages()
+        newcomer.take_page(other.give_page(0, 0.0), 0.0)
+        self.assertEqual(newcomer.next_page, membertable.BUCKETS)
+
     def test_pages_are_refused_when_too_many_ask(self):
         """A zone of hundreds of daemons restarts and all want the list.
 
--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -30,6 +30,8 @@
 PUSH_BYTES = 16 * 1024
 # Bounds in seconds between two attempts to get the member list.
 FETCH_PAUSE = (0.1, 0.5)
+# Seconds without a page after which a daemon that knows peers stops asking.
+FETCH_PATIENCE = 20.0
 
 
 class SendError(errors.UserError):
@@ -331,11 +333,20 @@
     """Get the whole member list, page by page, from whoever answers.
 
     Each page may come from another daemon, so that after the restart of a
-    whole zone nobody has to give everything to hundreds of newcomers.
+    whole zone nobody has to give everything to hundreds of newcomers. When a
+    whole mesh starts at once, nobody has the list. After a while without
+    progress what is known is taken for the list; digests settle the rest.
     """
-    while gossip.members.next_page < membertable.BUCKETS:
-        for endpoint in gossip.members.find_contacts()[:1]:
+    members = gossip.members
+    last = _read_clock()
+    while members.next_page < membertable.BUCKETS:
+        before = members.next_page
+        for endpoint in members.find_contacts()[:1]:
             await _fetch_page(gossip, endpoint)
+        if members.next_page > before or len(members) == 1:
+            last = _read_clock()
+        elif _read_clock() - last > FETCH_PATIENCE:
+            members.finish_pages()
         await asyncio.sleep(random.uniform(*FETCH_PAUSE))
     logging.info("member list received: %d members", len(gossip.members))
 
--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -311,6 +311,10 @@
         self._next_page = max(self._next_page, page.next_bucket)
         return self._merge_all(page.members, now, spread=False)
 
+    def finish_pages(self):
+        """Ask for no more pages, and give them to others from now on."""
+        self._next_page = membertable.BUCKETS
+
     def load_join(self, endpoint):
         """Remember a daemon from the log as a way to reach the mesh.
 
@@ -466,6 +470,11 @@
             bucket: Where the page starts.
             now: Time in seconds.
         """
+        if self._next_page < membertable.BUCKETS:
+            # Newcomers that took each other's short lists for whole ones would
+            # find no endpoints for most services. They may get to know each
+            # other, and go on looking for somebody who has the list.
+            return MemberPage((self._own,), bucket)
         if self._page_budget.find_left(now) <= 0:
             return MemberPage((), bucket)
         found = []
