--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -102,6 +102,11 @@
         self.advance(now)
         return [self._rate(index) for index in range(CLASSES)]
 
+    def shrink(self, factor):
+        """Scale down the demand inferred."""
+        for window in (self._short, self._long):
+            window.counts = [count * factor for count in window.counts]
+
     def split(self, share, now):
         """Hand a share of the demand over to a new group, and return that."""
         self.advance(now)
@@ -132,7 +137,12 @@
         if difference > CHANGE_DEVIATIONS * math.sqrt(expected / 2.0) + 1.0:
             self._long.counts[index] = self._short.counts[index]
             self._long.exposure[index] = exposure
-        return self._long.rate(index)
+        counted = self._long.counts[index]
+        # One standard deviation less than counted (half of a decaying count is
+        # its variance): on a count that chance made high, requests would be
+        # refused though there is room for them; one too low only fills the queue.
+        sure = 1.0 - 1.0 / math.sqrt(2.0 * counted + 1.0)
+        return self._long.rate(index) * sure
 
     def _highest_level(self, now):
         history = self._history
@@ -156,6 +166,7 @@
     STEP = 0.9
     LOSS = 0.95
     MOST_PAUSE = 64
+    FORGET_SECONDS = 1800.0
 
     def __init__(self, slots, now=None):
         self.slots = slots
@@ -192,8 +203,9 @@
         full = self._full > 0.8 * self._count
         # Forgets slowly, so that a service that has become slower for good
         # isn't held at a low limit for ever.
-        raised = mean if self._lowest is None else self._lowest * 1.01
-        self._lowest = min(mean, raised)
+        if self._lowest is not None:
+            self._lowest *= math.exp((now - self._start) / self.FORGET_SECONDS)
+        self._lowest = mean if self._lowest is None else min(mean, self._lowest)
         self._adapt(mean, throughput, full)
         self._start, self._count, self._time_sum, self._full = now, 0, 0.0, 0
 
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -21,6 +21,14 @@
 REACTION_SECONDS = 1.0
 CONTROL_SECONDS = 0.05
 MEAN_SECONDS = 5.0
+# The slack is followed near its lower end (the fall weighs four times the rise,
+# which settles at about the lowest fifth), so that most arrivals can wait out
+# the queue.
+SLACK_FALL = 0.1
+SLACK_RISE = 0.025
+SLACK_START = 1.0
+# Idle slots let the estimate of the demand fall by this time constant at most.
+IDLE_SECONDS = 0.1
 # The correction of the capacity takes several reaction times, so that it and
 # the correction of the queue don't swing against each other.
 TRIM_RATE = 0.1
@@ -63,15 +71,48 @@
         self.in_service = 0
         self.capacity = 0.0
         self.factor = 1.0
+        self.slack = SLACK_START
         self._time = now
         self._time_sum = 0.0
         self._count = 0.0
+        self._starts = 0.0
+
+    def start(self, now):
+        """Note that a job has been admitted."""
+        self.in_service += 1
+        self._starts += now
+
+    def end(self, began):
+        """Note that a job admitted at `began` has left."""
+        self.in_service -= 1
+        self._starts -= began
+
+    def estimate_mean(self, now):
+        """Return the mean service time, allowing for jobs that haven't ended.
+
+        Of jobs that began together the short ones end first. Their mean alone
+        would show too much capacity for seconds after a surge, and none at all
+        until the first has ended. So the time spent so far counts too, and each
+        job inside counts as half ended.
+        """
+        inside = self.in_service * now - self._starts
+        ended = self._count + 0.5 * self.in_service
+        return (self._time_sum + inside) / ended if ended > 0.0 else 0.0
 
     @property
     def mean(self):
         """Mean service time in seconds, 0 when unknown."""
         return self._time_sum / self._count if self._count > 1e-6 else 0.0
 
+    def note_slack(self, seconds):
+        """Take the time that one arrival could wait and still be in time."""
+        weight = SLACK_FALL if seconds < self.slack else SLACK_RISE
+        self.slack += weight * (max(seconds, 0.0) - self.slack)
+
+    def choose_length(self):
+        """Return how many requests may wait."""
+        return waiting.choose_length(self.capacity, REACTION_SECONDS, self.slack)
+
     def trim(self, error, elapsed):
         """Correct the capacity by what the queue shows, slowly.
 
@@ -94,10 +135,11 @@
 
 
 class Running(NamedTuple):
-    """One attempt in service: its kind and lane."""
+    """One attempt in service: its kind, its lane and when it began."""
 
     kind: str
     lane: Lane
+    began: float
 
 
 class Gate:
@@ -132,6 +174,7 @@
         lane = self._choose_lane(kind, now)
         rank = messages.rank_request(request)
         lane.shares.record(request, rank, now)
+        lane.note_slack(request.deadline - now - self._durations.allow(kind))
         self._control(now)
         if self._is_late(request, lane, kind, now):
             return self._refuse(request, lane, messages.Reason.DEADLINE, now)
@@ -160,7 +203,7 @@
             lane.observe(service_time, now)
             if lane is self._short:
                 self._limit.observe(service_time, len(self._running) + 1, now)
-        lane.in_service -= 1
+        lane.end(running.began)
         return self._admit_waiting(now)
 
     def withdraw(self, attempt, now):
@@ -253,7 +296,7 @@
             return False
         ahead = lane.queue.count_ahead(int(request.importance))
         wait = ahead / lane.capacity if lane.capacity > 0.0 else 0.0
-        return wait + self._durations.mean(kind) > left
+        return wait + self._durations.hope(kind) > left
 
     def _long_limit(self):
         limit = self._limit.value
@@ -266,25 +309,26 @@
 
     def _admit(self, request, lane, now):
         kind = fairness.name_kind(request)
-        self._running[request.attempt] = Running(kind, lane)
-        lane.in_service += 1
+        self._running[request.attempt] = Running(kind, lane, now)
+        lane.start(now)
         self._durations.start(kind, now)
         return Decision(request.attempt, Verdict.ADMIT)
 
     def _enqueue(self, request, lane, rank, now):
-        most = waiting.choose_length(lane.capacity, REACTION_SECONDS)
+        most = lane.choose_length()
         level = lane.shares.level(request)
-        # What the entries would refuse may use a free slot or the lower half of
-        # the queue, never push out what they let pass.
-        if rank < level and len(lane.queue) >= most // 2:
+        # What the entries would refuse, and no backend server has worked for,
+        # may use a free slot or the first half of the queue and no more.
+        is_new = not request.via
+        if is_new and rank < level and len(lane.queue) >= most // 2:
             return self._refuse(request, lane, self._name_reason(request, lane), now)
         if len(lane.queue) >= most:
             return self._displace(request, lane, rank, now)
         return self._wait(request, lane, rank, now)
 
     def _wait(self, request, lane, rank, now):
-        mean = self._durations.mean(fairness.name_kind(request))
-        expires = max(now, request.deadline - mean)
+        least = self._durations.hope(fairness.name_kind(request))
+        expires = max(now, request.deadline - least)
         lane.queue.add(waiting.Waiter(request, rank, now, expires))
         return Decision(request.attempt, Verdict.WAIT, expires=expires)
 
@@ -294,8 +338,16 @@
         The one that waits can't be answered from here: it is marked as expired,
         so that the caller's next `expire` refuses it at once.
         """
-        lowest = lane.queue.find_lowest()
-        if lowest.rank >= rank:
+
+        def measure(waiter):
+            level = lane.shares.level(waiter.request)
+            return waiting.measure_margin(waiter.rank, level)
+
+        lowest = lane.queue.find_lowest(measure)
+        level = lane.shares.level(request)
+        margin = waiting.measure_margin(rank, level)
+        ahead = int(lowest.rank) >= int(rank) and measure(lowest) >= margin
+        if int(lowest.rank) > int(rank) or ahead:
             return self._refuse(request, lane, messages.Reason.QUEUE, now)
         lane.queue.remove(lowest.request.attempt)
         self._displaced.append((lowest.request, lane))
@@ -352,12 +404,19 @@
 
     def _update(self, lane, slots, elapsed, now):
         """Set the levels of a lane from its capacity and its queue."""
-        if lane.mean <= 0.0:
+        mean = lane.estimate_mean(now)
+        if mean <= 0.0:
             return
-        lane.capacity = slots / lane.mean
-        length = waiting.choose_length(lane.capacity, REACTION_SECONDS)
+        lane.capacity = slots / mean
+        length = lane.choose_length()
         excess = lane.in_service + len(lane.queue) - slots
         error = length / 2.0 - max(excess, -length / 2.0)
         lane.trim(error / length, elapsed)
+        if excess < 0:
+            # Slots stand idle while a level keeps requests out: the demand is
+            # less than it was. So few arrive above a high level that counting
+            # them takes a second to show it, and callers are refused meanwhile.
+            idle = -excess / slots
+            lane.shares.shrink(math.exp(-idle * elapsed / IDLE_SECONDS))
         wanted = lane.capacity * lane.factor + error / REACTION_SECONDS
         lane.shares.update(max(wanted, 0.0), now)
