--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -334,15 +334,22 @@
 
     Each page may come from another daemon, so that after the restart of a
     whole zone nobody has to give everything to hundreds of newcomers. When a
-    whole mesh starts at once, nobody has the list. After a while without
-    progress what is known is taken for the list; digests settle the rest.
+    whole mesh starts at once, nobody has the list: once everyone known has
+    said so, or after a while without progress, what is known is taken for the
+    list; digests settle the rest.
     """
     members = gossip.members
     last = _read_clock()
+    without = set()
     while members.next_page < membertable.BUCKETS:
         before = members.next_page
-        for endpoint in members.find_contacts()[:1]:
-            await _fetch_page(gossip, endpoint)
+        contacts = members.find_contacts()
+        untried = [e for e in contacts if e.daemon not in without]
+        if contacts and not untried:
+            members.finish_pages()
+            break
+        for endpoint in untried[:1]:
+            without.update(await _fetch_page(gossip, endpoint))
         if members.next_page > before or len(members) == 1:
             last = _read_clock()
         elif _read_clock() - last > FETCH_PATIENCE:
@@ -352,6 +359,7 @@
 
 
 async def _fetch_page(gossip, endpoint):
+    """Ask for a page; return who has no list to give, as a set of identifiers."""
     own = pack_member(gossip.members.own)
     bucket = gossip.members.next_page
     message = _compose(gossip, members=[own], full=True, bucket=bucket)
@@ -359,19 +367,23 @@
         answer = await _send(gossip, endpoint.address, message)
     except SendError:
         gossip.members.missed(endpoint.daemon, _read_clock())
-        return
+        return frozenset()
     now = _read_clock()
-    if answer.sender == gossip.members.own.endpoint.daemon:
-        # The log still names the predecessor at this address. Taken for a
-        # peer's, its own empty list would seem complete, and callers would be
-        # told "no-endpoint" of services that are there.
+    if answer.sender != endpoint.daemon:
+        # The log still names a predecessor at this address.
         gossip.members.load_leave(endpoint.daemon)
         gossip.members.replace(endpoint.daemon, now)
-        return
+    if answer.sender == gossip.members.own.endpoint.daemon:
+        # Taken for a peer's, its own empty list would seem complete, and
+        # callers would be told "no-endpoint" of services that are there.
+        return frozenset()
     page = membership.MemberPage(unpack_members(answer.members), answer.next_bucket)
     changes = gossip.members.take_page(page, now)
     gossip.members.heard(answer.sender, now)
     gossip.notify(changes)
+    if page.members and page.next_bucket == bucket:
+        return frozenset({answer.sender})
+    return frozenset()
 
 
 def _read_clock():
