--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -99,6 +99,11 @@
 # Joins are counted over so many seconds, up to so many.
 RECENT = 60.0
 MOST_JOINS = 1000
+# How often something is sent again after a peer turned out not to know it.
+CORRECTIONS = 2
+# Members drawn to fill the places of partners: enough for five of a zone that
+# holds a ninth of the members, nine times out of ten.
+DRAWN_MEMBERS = 96
 # A planning call that comes so many intervals late means that this daemon was
 # paused; what it holds against others is worth nothing then.
 PAUSED_INTERVALS = 5
@@ -495,6 +500,7 @@
         daemon = member.endpoint.daemon
         if daemon == self._own.endpoint.daemon:
             self._contradict(member)
+            self._correct(member, self._own)
             return None
         known = self._table.get(daemon)
         if known is None:
@@ -503,6 +509,7 @@
             if member.endpoint.region in self._lost_regions:
                 return None
         elif not supersedes(member, known):
+            self._correct(member, known)
             return None
         if known is not None and member.state in (State.SUSPECT, State.GONE):
             # Bad news travel without the endpoint, to keep them short.
@@ -529,6 +536,12 @@
             self._joins.append(now)
         return Change(member, joined)
 
+    def _correct(self, told, known):
+        """Tell a few daemons again what somebody turned out not to know."""
+        if told.version < known.version:
+            again = max(0, self._find_most_sends() - CORRECTIONS)
+            self._rumours.setdefault(known.endpoint.daemon, again)
+
     def _contradict(self, member):
         """Raise the own version above whatever is held against this daemon.
 
@@ -693,32 +706,53 @@
         return settings.near_partners + settings.region_partners + settings.far_partners
 
     def _fill_places(self):
-        candidates = [
+        """Fill free places, from a few members or, where they lack, from all.
+
+        A zone of few members in a large mesh is hardly met with among a few.
+        """
+        for candidates in (
+            self._table.draw(self._random, DRAWN_MEMBERS),
+            self._table.members(),
+        ):
+            spare = self._fill_from(candidates)
+            if not any(self._count_free().values()):
+                return
+        missing = max(0, self._count_places() - len(self._partners))
+        for endpoint in spare[:missing]:
+            self._partners[endpoint.daemon] = None
+
+    def _fill_from(self, candidates):
+        """Fill free places; return the endpoints for which there is none."""
+        free = self._count_free()
+        possible = [
             member.endpoint
-            for member in self._table.members()
+            for member in candidates
             if member.state is not State.GONE
             and member.endpoint.daemon not in self._partners
             and member is not self._own
         ]
-        self._random.shuffle(candidates)
-        places = {
-            0: self.settings.near_partners,
-            1: self.settings.region_partners,
-            2: self.settings.far_partners,
-        }
-        for daemon in self._partners:
-            places[self._find_distance(self._table.get(daemon).endpoint)] -= 1
+        self._random.shuffle(possible)
         spare = []
-        for endpoint in candidates:
+        for endpoint in possible:
             distance = self._find_distance(endpoint)
-            if places[distance] > 0:
-                places[distance] -= 1
+            if free[distance] > 0:
+                free[distance] -= 1
                 self._partners[endpoint.daemon] = None
             else:
                 spare.append(endpoint)
-        missing = self._count_places() - len(self._partners)
-        for endpoint in spare[: max(0, missing)]:
-            self._partners[endpoint.daemon] = None
+        return spare
+
+    def _count_free(self):
+        """Return the free places by distance: own zone, region, elsewhere."""
+        free = {
+            0: self.settings.near_partners,
+            1: self.settings.region_partners,
+            2: self.settings.far_partners,
+        }
+        for daemon in self._partners:
+            distance = self._find_distance(self._table.get(daemon).endpoint)
+            free[distance] = max(0, free[distance] - 1)
+        return free
 
     def _find_distance(self, endpoint):
         own = self._own.endpoint
--- a/whinwinch/membertable.py
+++ b/whinwinch/membertable.py
@@ -16,6 +16,7 @@
 
 import contextlib
 import enum
+import math
 import zlib
 from typing import NamedTuple
 
@@ -122,6 +123,18 @@
         """Return all members, those that are gone too."""
         return tuple(member for bucket in self._buckets for member in bucket.values())
 
+    def draw(self, random, count):
+        """Draw members at random, about `count` and possibly some gone ones.
+
+        It takes whole buckets and costs the same however many members there
+        are, while shuffling thousands to take a few would not.
+        """
+        if count >= self._present:
+            return self.members()
+        wanted = math.ceil(BUCKETS * count / self._present)
+        chosen = random.sample(self._buckets, min(BUCKETS, wanted))
+        return tuple(member for bucket in chosen for member in bucket.values())
+
     def find_bucket_members(self, bucket):
         """Return the members of one bucket, those that are gone too."""
         return tuple(self._buckets[bucket].values())
