--- a/demo/report.py
+++ b/demo/report.py
@@ -1,5 +1,6 @@
 """What the demo prints of a phase, and which promises the phase broke."""
 
+import itertools
 import json
 import math
 from collections import Counter
@@ -14,6 +15,8 @@
 # A caller that sends later than this after the due time was short of threads,
 # and the load was less than meant.
 LATE = 0.25
+# A fault or two among the few most important requests is no upset order.
+SLACK = 0.02
 
 
 class Promise(NamedTuple):
@@ -98,6 +101,8 @@
 def check_promises(results, by_key, by_request, budgets):
     """Hold what callers were told against what the backend servers ran.
 
+    `check_order` adds the promise that holds under overload.
+
     Args:
         results: `caller.Result` of every request.
         by_key: Runs by idempotency key, over all backend servers.
@@ -149,6 +154,54 @@
     ]
 
 
+def check_order(results, service):
+    """Check that the more important work completes the larger share.
+
+    Only requests that need the overloaded service are compared: what goes
+    elsewhere completes whatever its importance.
+
+    Args:
+        results: `caller.Result` of every request.
+        service: Name of the service that is overloaded.
+
+    Returns:
+        A `Promise`.
+    """
+    shares = []
+    for row in ROWS:
+        columns = [
+            judge_result(result)
+            for result in results
+            if result.importance == row and needs_service(result, service)
+        ]
+        if columns:
+            shares.append((row, columns.count("whole") / len(columns)))
+    upset = [
+        f"{lower} above {upper}"
+        for (upper, more), (lower, less) in itertools.pairwise(shares)
+        if less > more + SLACK
+    ]
+    return count_broken("less important work that was served before more", upset)
+
+
+def form_goodput(results, service, capacity, seconds):
+    """Return a line on the whole requests that needed a service."""
+    whole = sum(
+        needs_service(result, service) and judge_result(result) == "whole"
+        for result in results
+    )
+    return (
+        f"  whole requests that needed {service}: {whole / seconds:.1f}/s "
+        f"of the {capacity:.0f}/s that it can carry"
+    )
+
+
+def needs_service(result, service):
+    """Return whether a request calls a service, at any depth."""
+    calls = [call.partition("/")[0] for call in result.next.split(",")]
+    return service in (result.service, *calls)
+
+
 def count_broken(text, examples):
     """Return a `Promise` from what broke it."""
     return Promise(text, len(examples), examples[0] if examples else "")
--- a/demo/run.py
+++ b/demo/run.py
@@ -19,6 +19,7 @@
 from . import mesh, report
 
 TRACE = pathlib.Path(__file__).with_name("press.jsonl")
+OVERLOADED = "submissions"
 OVERLOAD = 3.0
 PHASE_SECONDS = 12.0
 CALLERS = 3
@@ -74,18 +75,24 @@
     began = time.monotonic()
     nodes = mesh.place_nodes()
     press = mesh.start_mesh(running, nodes)
-    mesh.wait_until_ready(running, press)
-    mesh.apply_resources(running, press)
-    mesh.wait_until_reached(running, press)
-    mesh.wait_until_in_force(running, press)
-    say(f"{len(nodes)} endpoints ready after {time.monotonic() - began:.1f} s")
+    steps = (
+        ("daemons ready", mesh.wait_until_ready),
+        ("resources applied", mesh.apply_resources),
+        ("all endpoints reached", mesh.wait_until_reached),
+        ("resources in force", mesh.wait_until_in_force),
+    )
+    for name, step in steps:
+        step(running, press)
+        say(f"{name} after {time.monotonic() - began:.1f} s")
     say("", "the same chain of three services, one at a time, no service time:")
     say(*report.form_latency(*measure_chain(nodes)))
     promises = play_phases(running, nodes, seed)
+    stopping = time.monotonic()
     killed = mesh.stop_mesh(running, press)
+    say("", f"everything stopped within {time.monotonic() - stopping:.1f} s")
     if killed:
-        say("", f"didn't stop by themselves: {', '.join(killed)}")
-    say("", f"took {time.monotonic() - began:.1f} s")
+        say(f"didn't stop by themselves: {', '.join(killed)}")
+    say(f"took {time.monotonic() - began:.1f} s")
     if any(promise.broken for promise in promises):
         return BROKEN
     return FAILED if killed else 0
@@ -96,34 +103,48 @@
     requests = trace.read_trace(TRACE.read_text().splitlines())
     rate = find_overload(requests)
     ordinary = "an ordinary day, as recorded"
-    overload = f"submissions asked for {OVERLOAD:.0f} times what it can carry"
+    overload = f"{OVERLOADED} asked for {OVERLOAD:.0f} times what it can carry"
     return [
         *play_phase(running, nodes, seed, ordinary, 1.0),
-        *play_phase(running, nodes, seed, overload, rate),
+        *play_phase(running, nodes, seed, overload, rate, OVERLOADED),
     ]
 
 
 def find_overload(requests):
-    """Return the multiple of the trace that is `OVERLOAD` for submissions."""
-    wanted = sum(
-        request.service == "submissions" or "submissions" in request.next
-        for request in requests
-    )
+    """Return the multiple of the trace that is `OVERLOAD` for the service."""
+    wanted = sum(report.needs_service(request, OVERLOADED) for request in requests)
     recorded = wanted / trace.find_length(requests)
+    return OVERLOAD * find_capacity() / recorded
+
+
+def find_capacity():
+    """Return the requests a second that the overloaded service can carry."""
     (capacity,) = (
-        service.capacity for service in mesh.SERVICES if service.name == "submissions"
+        service.capacity for service in mesh.SERVICES if service.name == OVERLOADED
     )
-    return OVERLOAD * capacity / recorded
+    return capacity
+
 
+def play_phase(running, nodes, seed, title, rate, overloaded=None):
+    """Play the trace at a rate by several callers; print and return the promises.
 
-def play_phase(running, nodes, seed, title, rate):
-    """Play the trace at a rate by several callers; print and return the promises."""
+    Args:
+        running: `processes.Processes`.
+        nodes: Tuple of `mesh.Node`.
+        seed: Seed of the callers.
+        title: Title of the table.
+        rate: Multiple of the recorded rate.
+        overloaded: Name of the service that gets too much, None for none.
+    """
     results = play_trace(running, nodes, seed, rate)
     by_key, by_request = mesh.read_runs(nodes)
     budgets = report.read_budgets(mesh.RESOURCES)
     promises = report.check_promises(results, by_key, by_request, budgets)
+    if overloaded:
+        promises.append(report.check_order(results, overloaded))
+    goodput = report.form_goodput(results, OVERLOADED, find_capacity(), PHASE_SECONDS)
     say("", *report.form_table(f"{title} (x{rate:.2f})", results, PHASE_SECONDS))
-    say(*report.form_notes(results), *report.form_promises(promises))
+    say(goodput, *report.form_notes(results), *report.form_promises(promises))
     return promises
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -77,6 +77,7 @@
     Attributes:
         at: Seconds after the start at which it was due.
         service: Service wanted.
+        next: Calls down the chain, as in the trace.
         importance: Declared importance.
         key: Idempotency key, or "".
         late: Seconds after its due time at which it was first sent.
@@ -86,6 +87,7 @@
 
     at: float
     service: str
+    next: str
     importance: str
     key: str
     late: float
@@ -295,6 +297,7 @@
                 Result(
                     request.at,
                     request.service,
+                    request.next,
                     request.importance,
                     key,
                     late,
--- a/test/standins/test_caller.py
+++ b/test/standins/test_caller.py
@@ -74,7 +74,7 @@
 
     def test_result_round_trip(self):
         sent = caller.Sent("r", "not-run", "queue-full", 503, 0.1, 1, 0.2)
-        result = caller.Result(0.0, "archive", "low", "", 0.0, 0.1, (sent, sent))
+        result = caller.Result(0.0, "archive", "", "low", "", 0.0, 0.1, (sent, sent))
         self.assertEqual(caller.read_result(caller.write_result(result)), result)
 
     def test_key_is_uuid_version_7(self):
--- a/test/standins/test_demo.py
+++ b/test/standins/test_demo.py
@@ -13,7 +13,7 @@
 
 
 def form_result(*sent, key=""):
-    return caller.Result(0.0, "royalties", "critical", key, 0.0, 0.1, sent)
+    return caller.Result(0.0, "royalties", "", "critical", key, 0.0, 0.1, sent)
 
 
 def list_broken(results, by_key=None, by_request=None):
@@ -57,6 +57,28 @@
         self.assertEqual(report.judge_result(result), "unknown")
 
 
+class OrderTest(unittest.TestCase):
+    def list_upset(self, *outcomes):
+        results = [
+            form_result(form_sent("a", outcome, whole=outcome == "completed"))._replace(
+                importance=importance, service="submissions"
+            )
+            for importance, outcome in outcomes
+        ]
+        return report.check_order(results, "submissions").example
+
+    def test_important_work_survives(self):
+        self.assertEqual(
+            self.list_upset(("critical", "completed"), ("low", "not-run")), ""
+        )
+        self.assertEqual(self.list_upset(("high", "completed")), "")
+
+    def test_important_work_is_shed_first(self):
+        """Payouts are refused while poets' refreshes get through."""
+        upset = self.list_upset(("critical", "not-run"), ("low", "completed"))
+        self.assertEqual(upset, "low above critical")
+
+
 class TraceTest(unittest.TestCase):
     def test_recorded_trace_is_the_drawn_one(self):
         drawn = "".join(trace.write_trace(draw.draw_trace()))
