Refuse requests that could be read in two ways

Found by test.failures.test_input: two different Content-Lengths were served by the last one. Ruled out: checking in the WSGI callable, which sees one value only. Before: 200; after: 400. The other ten kinds of bad input passed as they were.

--- a/whinwinch/callers/server.py
+++ b/whinwinch/callers/server.py
@@ -4,6 +4,8 @@
 from cheroot import wsgi
 from cherrypy.process import servers
 
+from . import strictness
+
 # A caller that stops half way through its request is let go after this.
 SOCKET_TIMEOUT = 10.0
 # Kept connections that may wait for their next request.
@@ -31,6 +33,7 @@
     server.max_request_body_size = settings.max_body
     server.keep_alive_conn_limit = KEPT_CONNECTIONS
     server.server_name = "whinwinch"
+    server.ConnectionClass = strictness.StrictConnection
     return server
 
 
