--- a/whinwinch/callers/strictness.py
+++ b/whinwinch/callers/strictness.py
@@ -28,7 +28,7 @@
         super().__setitem__(name, value)
 
 
-class StrictHeaderReader(server.DropUnderscoreHeaderReader):
+class StrictHeaderReader(server.HeaderReader):
     """Reads headers, or raises ValueError when they are ambiguous.
 
     Names with an underscore are dropped: WSGI can't tell them from those with
@@ -45,6 +45,10 @@
         hdict.update(headers)
         return hdict
 
+    def _allow_header(self, key_name):
+        # cheroot's own reader that drops these names mixes bytes and text.
+        return b"_" not in key_name
+
 
 class StrictRequest(server.HTTPRequest):
     """A request whose headers are read strictly."""
