Keep one retry for a lost answer where calls go out in turn

Granting everything left the hop above nothing to repeat a call whose answer was lost: test_router's read of unknown outcome failed.

--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -41,6 +41,9 @@
 # Weight of the newest call in that share: some 150 calls to change the habit.
 HABIT_WEIGHT = 1 / 64
 
+# Retries of which none is kept back on the way down, where calls go out in turn.
+SENT_DEEP = 2
+
 # Refusals that another endpoint may not share, so that a try elsewhere is of use.
 LOCAL_REASONS = frozenset(
     {
@@ -169,8 +172,15 @@
     together: float
 
 
-def grant_all(situation):
-    """Grant a child all that is held; calls made beside it get nothing."""
+def grant_most(situation):
+    """Grant a child all but one, and of one or two everything.
+
+    What went down is lost when the answer is; the one kept repeats a call whose
+    answer was lost. The last two go all the way down: refusals are far more
+    frequent than lost answers, and return what they got.
+    """
+    if situation.held > SENT_DEEP:
+        return situation.held - 1
     return situation.held
 
 
@@ -184,15 +194,15 @@
 
 
 def grant_by_habit(situation):
-    """Grant all where calls go out one after the other, else half.
+    """Grant most where calls go out one after the other, else half.
 
-    One after the other, nothing is gained by holding back: each child returns
+    One after the other, little is gained by holding back: each child returns
     what it did not use before the next call. Half at each of 16 hops would
     leave the last ones a single retry whatever the root holds. Calls that go
     out together would find nothing left after the first.
     """
     if situation.together < SELDOM_TOGETHER:
-        return grant_all(situation)
+        return grant_most(situation)
     return grant_half(situation)
 
 
