--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -99,6 +99,9 @@
 # Joins are counted over so many seconds, up to so many.
 RECENT = 60.0
 MOST_JOINS = 1000
+# With more rumours than this waiting, digests aren't answered: about what fits
+# into one message.
+BUSY_RUMOURS = 16
 # How often something is sent again after a peer turned out not to know it.
 CORRECTIONS = 2
 # Members drawn to fill the places of partners: enough for five of a zone that
@@ -453,6 +456,10 @@
         Returns:
             A tuple of `Member`, within the bytes allowed.
         """
+        if len(self._rumours) > BUSY_RUMOURS:
+            # When a whole zone dies nearly all digests differ for a while, and
+            # whole buckets of what everyone knows would crowd out the news.
+            return ()
         own = self._table.find_digests(digests.first, len(digests.values))
         found = []
         for i, (ours, theirs) in enumerate(zip(own, digests.values, strict=True)):
