Put joins off while the stream has many recent ones

A daemon now waits up to 10 s, reads the stream's end and puts its join off while 32 recent ones are there, three times at most. First reads are spread over 3 s instead of 1.

--- a/test/logservice/test_joining.py
+++ b/test/logservice/test_joining.py
@@ -69,6 +69,29 @@
 
         run_mesh(steps)
 
+    def test_restart_of_a_zone_does_not_storm_the_log(self):
+        """Sixty daemons of a zone restart in one moment.
+
+        Their appends would compete with the claims of everybody's payouts.
+        """
+
+        async def steps(network, log):
+            for number in range(6):
+                start(network, log, number)
+            await wait_for(is_whole(network, 6))
+            await asyncio.sleep(60.0)
+            before = len(log.records)
+            for number in range(100, 160):
+                start(network, log, number)
+            await wait_for(is_whole(network, 66))
+            await asyncio.sleep(240.0)
+            times = [record.time for record in log.records[before:]]
+            busiest = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+            self.assertLess(busiest, 20)
+            self.assertLessEqual(len(times), 66)
+
+        run_mesh(steps)
+
     def test_outage_of_the_log_does_not_matter_once_joined(self):
         async def steps(network, log):
             for number in range(6):
--- a/whinwinch/joins.py
+++ b/whinwinch/joins.py
@@ -6,12 +6,13 @@
 the addresses there, and from then on has everything from gossip, so that an
 outage of the log matters only to who starts during it.
 
-A join is appended after a delay that grows with the number of recent joins,
-because it helps only later newcomers and one record of a living daemon among
-the last `TAIL` is enough for them. Without the delay a zone that restarts
-would send its appends in one second, on top of the claims of everybody's
-payouts. Each record names a few other members too, so that the stream's end is
-of use although the daemons that wrote it are gone.
+A join helps only later newcomers, and a record of a living daemon among the
+last `TAIL` is enough for them. So it is put off while the stream has many
+recent ones, and daemons that aren't in the mesh yet wait the longer the more
+joins they see. Otherwise a zone that restarts would send its appends in one
+second, on top of the claims of everybody's payouts. Each record names a few
+other members too, so that the stream's end is of use although the daemons that
+wrote it are gone.
 
 All read the end of the stream again at an interval that grows with the size of
 the mesh. So a mesh that fell apart is found by its smaller part quickly, and
@@ -40,6 +41,9 @@
 # appends for its joins.
 MANY_JOINS = 20
 RECENT = 60.0
+# Recent records that are enough for newcomers: with seven companions each they
+# name some 250 daemons.
+ENOUGH_RECENT = 32
 
 
 class EndpointFields(TypedDict):
@@ -108,19 +112,25 @@
     """Give records to the membership as contacts, oldest first.
 
     Returns:
-        How many of the records told of a join within the last `RECENT`
-        seconds before the newest, by the log's clock.
+        How many of the records are recent, as `count_recent` has it.
     """
-    newest = max((record.time for record in records), default=0.0)
-    recent = 0
     for record in records:
         decoded = decode_record(record.data)
         for endpoint in reversed(decoded.joined):
             members.load_join(endpoint)
         for daemon in decoded.left:
             members.load_leave(daemon)
-        recent += bool(decoded.joined) and record.time > newest - RECENT
-    return recent
+    return count_recent(records)
+
+
+def count_recent(records):
+    """Count the joins written within `RECENT` seconds before the newest record.
+
+    The log's clock alone counts: instances' clocks may differ from it.
+    """
+    newest = max((record.time for record in records), default=0.0)
+    recent = (record for record in records if record.time > newest - RECENT)
+    return sum(bool(decode_record(record.data).joined) for record in recent)
 
 
 def find_append_delay(recent_joins, random):
--- a/whinwinch/logservice/joining.py
+++ b/whinwinch/logservice/joining.py
@@ -9,7 +9,12 @@
 from . import client
 
 # Seconds over which daemons that start together spread their first read.
-START_SPREAD = 1.0
+START_SPREAD = 3.0
+# Seconds over which they spread the look at whether their joins are needed.
+SETTLE_SPREAD = 10.0
+# How often a join is put off while the stream has many recent ones. Then it is
+# written anyway: the stream must not go on naming a burst of long ago only.
+POSTPONEMENTS = 3
 # Seconds that gossip gets to reach one of the contacts.
 CONTACT_TIME = 5.0
 # Bounds of the back-off while the log can't be used. The upper bound is how
@@ -34,10 +39,9 @@
     """
     loop = asyncio.get_running_loop()
     await asyncio.sleep(random.uniform(0.0, START_SPREAD))
-    recent = await _find_peers(read, append, members, random)
-    recent = max(recent, members.count_joins(loop.time()))
-    await asyncio.sleep(joins.find_append_delay(recent, random))
-    await _append_patiently(append, members, recent, random)
+    await _find_peers(read, append, members, random)
+    await _postpone(read, random)
+    await _append_patiently(append, members, members.count_joins(loop.time()), random)
     while True:
         await asyncio.sleep(joins.find_read_interval(len(members), random))
         await _refresh(read, append, members, random)
@@ -60,6 +64,23 @@
         logging.info("leave not written: %s", error)
 
 
+async def _postpone(read, random):
+    """Wait while other daemons have lately written joins enough.
+
+    A zone that restarts would otherwise write all of its joins in the seconds
+    in which they reach the mesh, before they know of one another.
+    """
+    await asyncio.sleep(random.uniform(0.0, SETTLE_SPREAD))
+    for _ in range(POSTPONEMENTS):
+        try:
+            page = await _read_end(read)
+        except client.LogUnavailable:
+            return
+        if joins.count_recent(page.records) < joins.ENOUGH_RECENT:
+            return
+        await asyncio.sleep(random.uniform(0.0, joins.RECENT))
+
+
 async def _append_patiently(append, members, recent, random):
     """Append this daemon's join, which belongs to the mesh already.
 
