--- a/standins/processes.py
+++ b/standins/processes.py
@@ -64,7 +64,7 @@
         It gets a session of its own: Ctrl-C reaches only this process, which
         then stops the others in their order.
         """
-        output = (self.directory / f"{name}.log").open("wb")
+        output = (self.directory / f"{name}.log").open("ab")
         with output:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *map(str, arguments)],
--- a/test/failures/meshes.py
+++ b/test/failures/meshes.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import json
 import os
+import pathlib
 import signal
 import tempfile
 import time
@@ -14,10 +15,12 @@
 
 from demo import mesh
 from standins import caller, processes
+from whinwinch import traces
 
 # Nothing here is a verdict on speed: a limit only ends a test that hangs.
 GENEROUS = 60.0
 SERVICE_TIME = 0.02
+TRACED = {"WHINWINCH_TRACE": "on"}
 ROYALTIES = mesh.Service("royalties", 20, 100, SERVICE_TIME)
 CATALOG = mesh.Service("catalog", 20, 100, SERVICE_TIME)
 PAYOUT = {
@@ -60,12 +63,18 @@
     @classmethod
     def setUpClass(cls):
         directory = cls.enterClassContext(tempfile.TemporaryDirectory())
+        # Runs after all processes have ended.
+        cls.addClassCleanup(cls.replay, directory)
         cls.running = cls.enterClassContext(processes.Processes(directory))
         cls.nodes = mesh.place_nodes(cls.services, cls.zones)
         cls.http = urllib3.PoolManager(retries=False, timeout=GENEROUS, maxsize=64)
         cls.pool = concurrent.futures.ThreadPoolExecutor(64)
         cls.addClassCleanup(cls.pool.shutdown, cancel_futures=True)
-        cls.mesh = mesh.start_mesh(cls.running, cls.nodes, find_env=cls.find_env)
+        cls.mesh = mesh.start_mesh(
+            cls.running,
+            cls.nodes,
+            find_env=lambda node: TRACED | cls.find_env(node),
+        )
         mesh.wait_until_ready(cls.running, cls.mesh)
         mesh.wait_until_reached(cls.running, cls.mesh)
         for resource in cls.resources:
@@ -73,6 +82,17 @@
         if cls.resources:
             mesh.wait_until_in_force(cls.running, cls.mesh)
 
+    @classmethod
+    def replay(cls, directory):
+        """Check the daemons' traces of the whole class against the promises."""
+        paths = pathlib.Path(directory).glob("daemon-*.log")
+        logs = [path.read_text(errors="replace").splitlines() for path in paths]
+        lines = traces.merge_traces(logs)
+        findings = traces.check_trace(lines)
+        if findings:
+            report = [f"{each.place}: {each.problem}" for each in findings[:10]]
+            raise AssertionError("\n".join(["the trace breaks a promise:", *report]))
+
     @classmethod
     def find_env(cls, node):
         """Return further environment variables of a node's daemon."""
@@ -178,7 +198,7 @@
     def restart(self, node):
         """Start a node's daemon anew, after it has ended."""
         log_port = self.mesh.log_url.rpartition(":")[2]
-        env = self.mesh.env | self.find_env(node)
+        env = self.mesh.env | TRACED | self.find_env(node)
         daemon = mesh.start_daemon(self.running, node, log_port, env)
         daemons = list(self.mesh.daemons)
         daemons[self.nodes.index(node)] = daemon
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -3,7 +3,7 @@
 import threading
 from typing import NamedTuple
 
-from .. import attempts, claims, decisions, gate, messages
+from .. import attempts, claims, decisions, gate, messages, recording
 from ..messages import Answer, Outcome, Reason
 from .client import BackendClient
 
@@ -35,9 +35,20 @@
         running: `running.Running`.
         takes_work: Returns whether new work is taken.
         max_body: Largest answer taken, in bytes.
+        notes: `recording.Notes` for a trace.
     """
 
-    def __init__(self, clock, claim, note_end, ledger, running, takes_work, max_body):
+    def __init__(
+        self,
+        clock,
+        claim,
+        note_end,
+        ledger,
+        running,
+        takes_work,
+        max_body,
+        notes=recording.NOTHING,
+    ):
         self._clock = clock
         self._claim = claim
         self._note_end = note_end
@@ -45,6 +56,7 @@
         self._running = running
         self._takes_work = takes_work
         self._max_body = max_body
+        self._notes = notes
         self._lock = threading.Lock()
         self._gate = None
         self._client = None
@@ -94,9 +106,14 @@
         decision, waiter = self._offer(request)
         if waiter is not None:
             decision = self._wait(request, waiter, decision.expires)
-        if decision.verdict is not gate.Verdict.ADMIT:
-            return self._refuse(request, decision)
-        return self._serve_admitted(request)
+        admitted = decision.verdict is gate.Verdict.ADMIT
+        self._notes.admission(request, admitted)
+        if admitted:
+            answer = self._serve_admitted(request)
+        else:
+            answer = self._refuse(request, decision)
+        self._notes.answered(answer)
+        return answer
 
     def expire(self):
         """Refuse waiting requests whose time is over; called now and then."""
@@ -221,6 +238,7 @@
             ledger.open(request.attempt, request.budget, request.deadline)
         self._running.start(request)
         answer = client.forward(request, left)
+        self._notes.run(request, answer)
         below = self._running.finish(request.attempt)
         return self._complete_answer(request, answer, below)
 
--- a/whinwinch/commands.py
+++ b/whinwinch/commands.py
@@ -146,7 +146,12 @@
     parser = commands.add_parser(
         "replay", help="check a recorded trace against what must hold"
     )
-    parser.add_argument("trace", metavar="TRACE", help="file of JSON lines")
+    parser.add_argument(
+        "traces",
+        metavar="TRACE",
+        nargs="+",
+        help="file of JSON lines; several of one mesh are merged by their times",
+    )
     parser.set_defaults(run=run_replay)
 
 
@@ -178,4 +183,12 @@
     del environment
     from . import traces
 
-    return traces.replay_file(arguments.trace)
+    one, *others = arguments.traces
+    try:
+        replay = (
+            traces.replay_files([one, *others]) if others else traces.replay_file(one)
+        )
+    except OSError as error:
+        raise UserError(str(error)) from error
+    print(replay.text)
+    return replay.code
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -32,10 +32,20 @@
         flights: `flight.FlightCounter`.
         tick: Called at every tick with the loop's time.
         count_claim: Called with the verdict on each claim, as text.
+        notes: `recording.Notes` for a trace.
     """
 
     def __init__(
-        self, loop, settings, own, membership, log, flights, tick, count_claim
+        self,
+        loop,
+        settings,
+        own,
+        membership,
+        log,
+        flights,
+        tick,
+        count_claim,
+        notes,
     ):
         self._loop = loop
         self._settings = settings
@@ -45,6 +55,7 @@
         self._flights = flights
         self._tick = tick
         self._count_claim = count_claim
+        self._notes = notes
         self._registry = Registry(settings.lease)
         self._lifecycle = lifecycle.Lifecycle()
         self._claimers = {}
@@ -111,6 +122,7 @@
             self._flights.last_deadline,
         )
         logging.info("lifecycle phase=leaving until=%.3f", self._lifecycle.until)
+        self._notes.phase(self.phase)
         self._publish_membership(now)
 
     async def run(self):
@@ -129,6 +141,7 @@
         self._lifecycle = lifecycle.advance(self._lifecycle, now, self._flights.read())
         if self.phase is not before:
             logging.info("lifecycle phase=stopped ground=%r", self._lifecycle.ground)
+            self._notes.phase(self.phase)
 
     def _announce(self, announcement):
         if not self._registry.announce(announcement, self._loop.time()):
@@ -187,6 +200,7 @@
                 self._own,
                 LogUnavailable,
                 state=claims.Claims(window=self._settings.key_window),
+                note=self._notes.claims,
             )
             self._claimers[service] = found
             self._claimer_tasks.add(self._loop.create_task(found.run()))
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -6,6 +6,7 @@
 import math
 import random
 import signal
+import sys
 import time
 from typing import NamedTuple
 
@@ -24,10 +25,12 @@
     messages,
     metrics,
     placement,
+    recording,
     resources,
     retries,
     router,
     running,
+    traces,
 )
 from .backends import app as backend_app
 from .backends.gatekeeper import Gatekeeper
@@ -71,6 +74,7 @@
     levels: Guarded
     peers: peer_client.PeerClient
     control: control.Control
+    notes: recording.Notes
 
 
 def run(settings):
@@ -135,7 +139,8 @@
     flights = flight.FlightCounter()
     ledger = Guarded(retries.Ledger())
 
-    config = build_relay(store)
+    notes = build_notes(settings, own)
+    config = build_relay(store, notes)
     counts = metrics.Metrics()
 
     def tick(now):
@@ -161,16 +166,39 @@
             loop.time, access.choose_peer_token(settings.peer_token)
         ),
         control=control.Control(
-            loop, settings, own, members, log, flights, tick, counts.count_claim
+            loop,
+            settings,
+            own,
+            members,
+            log,
+            flights,
+            tick,
+            counts.count_claim,
+            notes,
         ),
+        notes=notes,
     )
 
 
-def build_relay(store):
+def build_notes(settings, own):
+    """Return the functions that write the trace, if there is to be one."""
+    if not settings.trace:
+        return recording.NOTHING
+    return recording.build_notes(own, traces.make_recorder(sys.stdout, time.time))
+
+
+def build_relay(store, notes):
     """Return the relay that hands configuration records on to peers."""
     kept = relay.RecordStore(find_covered)
 
     def apply_record(record):
+        before = store.version
+        taken = take_record(record)
+        if notes is not recording.NOTHING and store.version != before:
+            notes.configured(store.version, store.encode_resources())
+        return taken
+
+    def take_record(record):
         applied = store.apply_record(record.offset, record.time, record.data)
         if applied.ground is not configuration.Ground.GAP:
             kept.add(record)
@@ -202,6 +230,7 @@
         running=parts.running,
         takes_work=lambda: parts.control.admits(Way.INWARD),
         max_body=parts.settings.max_body,
+        notes=parts.notes,
     )
 
 
@@ -296,6 +325,7 @@
         random=random.random,
         key_window=parts.settings.key_window,
         note=build_note(parts),
+        notes=parts.notes,
     )
 
 
--- a/whinwinch/logservice/claimer.py
+++ b/whinwinch/logservice/claimer.py
@@ -91,6 +91,7 @@
         patience: Seconds after which a claim is answered LOG_DOWN.
         timeout: Seconds that one call to the log may take.
         draw: Function that returns a float from 0 to 1, for the pauses.
+        note: Called with offset and data of each record read, for a trace.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         patience=PATIENCE,
         timeout=CALL_TIMEOUT,
         draw=random.random,
+        note=None,
     ):
         self._client = client
         self._stream = f"claims.{service}"
@@ -114,6 +116,7 @@
         self._patience = patience
         self._timeout = timeout
         self._draw = draw
+        self._note = note or (lambda offset, data: None)
         self._queue = collections.deque()
         self._waiters = {}
         self._sent = set()
@@ -445,4 +448,5 @@
         self._state.skip_to(page.first)
         for record in page.records:
             self._state.apply(record.offset, record.time, record.data)
+            self._note(record.offset, record.data)
         return page
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import json
 import threading
 import time as clocks
 from types import MappingProxyType
@@ -250,6 +251,12 @@
         with self._news:
             return self._configuration.encode_snapshot()
 
+    def encode_resources(self):
+        """Return all accepted resources as bytes, the same at every daemon."""
+        view = self._view
+        found = [view.resources[key] for key in sorted(view.resources)]
+        return json.dumps([list(one) for one in found], sort_keys=True).encode()
+
     def plan_snapshot(self, retention, wall):
         """Return whether a snapshot is due, as a `configuration.SnapshotPlan`.
 
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -3,7 +3,7 @@
 import time
 from typing import NamedTuple
 
-from . import claims, decisions, messages, placement, retries
+from . import claims, decisions, messages, placement, recording, retries
 from .messages import Answer, Outcome, Reason, Request
 
 # Chains are up to 16 deep. A request that has passed twice as many services
@@ -91,6 +91,7 @@
         random: Function that returns a float from 0 to 1, for back-off.
         key_window: Seconds for which an idempotency key is good at most.
         note: Takes an `Incoming`, its `Routed` and the seconds it took.
+        notes: `recording.Notes` for a trace.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         random,
         key_window,
         note,
+        notes=recording.NOTHING,
     ):
         self._clock = clock
         self._places = places
@@ -118,6 +120,7 @@
         self._random = random
         self._key_window = key_window
         self._note = note
+        self._notes = notes
 
     def route_root(self, incoming, budget=None):
         """Route a call from outside.
@@ -150,7 +153,13 @@
         )
         with self._ledger as ledger:
             ledger.open(request.attempt, request.budget, request.deadline)
-        return self._route_counted(request, incoming, call, request.attempt)
+        self._notes.root_request(request)
+        routed = self._route_counted(request, incoming, call, request.attempt)
+        source = routed.answer.attempt
+        self._notes.delivered(
+            request.root, routed.answer, "" if source == request.attempt else source
+        )
+        return routed
 
     def route_nested(self, incoming, holder):
         """Route a call that the request `holder` makes from inside."""
@@ -268,6 +277,7 @@
                 tries,
             )
         )
+        self._notes.attempt(attempt, tries > 0)
         started = self._clock()
         with self._placement as state:
             state.start(endpoint.daemon, started)
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -70,6 +70,7 @@
     max_body: int
     max_header: int
     gossip_interval: float
+    trace: bool
     verbosity: str
     operator_tokens: str
     peer_token: str
@@ -123,6 +124,13 @@
     return parse_number
 
 
+def parse_switch(text):
+    """Parse "on" or "off"."""
+    if text not in ("on", "off"):
+        raise ValueError("must be on or off")
+    return text == "on"
+
+
 def parse_verbosity(text):
     """Check the name of a log level."""
     if text not in ("debug", "info", "warning", "error"):
@@ -206,6 +214,12 @@
         "1",
         "Seconds between two probes of other daemons.",
     ),
+    Option(
+        "trace",
+        parse_switch,
+        "off",
+        "Whether to write a trace to standard output, for `whinwinch replay`.",
+    ),
     Option("verbosity", parse_verbosity, "info", "Lowest level that is logged."),
     Option(
         "operator-tokens",
--- a/whinwinch/traces.py
+++ b/whinwinch/traces.py
@@ -8,6 +8,7 @@
 """
 
 import json
+import operator
 import threading
 from typing import NamedTuple
 
@@ -251,9 +252,18 @@
     return json.dumps({"format": FORMAT, "version": VERSION})
 
 
-def encode_record(record):
-    """Return one record as a line, without its line end."""
-    return json.dumps({"kind": KIND_NAMES[type(record)], **record._asdict()})
+def encode_record(record, at=0.0):
+    """Return one record as a line, without its line end.
+
+    Args:
+        record: The record.
+        at: Wall-clock seconds, by which the traces of several daemons are
+            merged.
+    """
+    head = {"kind": KIND_NAMES[type(record)]}
+    if at:
+        head["at"] = at
+    return json.dumps({**head, **record._asdict()})
 
 
 def decode_record(line):
@@ -269,6 +279,7 @@
     if not isinstance(fields, dict):
         raise ValueError("not an object")
     kind = KINDS.get(str(fields.pop("kind", "")))
+    fields.pop("at", None)
     if kind is None:
         raise ValueError("no known kind")
     try:
@@ -293,7 +304,39 @@
             raise ValueError(f"{name} is not of type {wanted.__name__}")
 
 
-def make_recorder(stream):
+def merge_traces(traces):
+    """Return the lines of one trace from those of several daemons, by time.
+
+    Their instances' clocks have to agree better than a call takes; where they
+    don't, an answer may stand before what it answers and be found wrong.
+
+    Args:
+        traces: Iterable of traces, each the lines of one daemon in their order.
+    """
+    lines = []
+    for trace in traces:
+        last = 0.0
+        for line in trace:
+            at = find_time(line)
+            if at is None:
+                continue
+            # A daemon's own order holds, also where its clock is set back.
+            last = max(last, at)
+            lines.append((last, line))
+    lines.sort(key=operator.itemgetter(0))
+    return (encode_head(), *(line for _, line in lines))
+
+
+def find_time(line):
+    """Return the time of a record's line, or None for another line."""
+    try:
+        fields = json.loads(line)
+        return float(fields["at"]) if "kind" in fields else None
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+
+
+def make_recorder(stream, clock=None):
     """Return a function that writes records to a text stream, one a line.
 
     Several threads may call it: a lock keeps lines whole and in the order in
@@ -301,13 +344,15 @@
 
     Args:
         stream: Text stream; the head is written at once.
+        clock: Returns the wall-clock time in seconds; None writes no times.
     """
     lock = threading.Lock()
 
     def record(entry):
-        line = encode_record(entry)
         with lock:
+            line = encode_record(entry, clock() if clock else 0.0)
             stream.write(line + "\n")
+            stream.flush()
 
     stream.write(encode_head() + "\n")
     return record
@@ -581,6 +626,26 @@
 }
 
 
+def replay_files(paths):
+    """Check the traces of several daemons of one mesh as one.
+
+    Args:
+        paths: Paths of the traces.
+
+    Returns:
+        A `Replay`.
+
+    Raises:
+        OSError: When a file can't be read.
+    """
+    traces = []
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as lines:
+            traces.append(tuple(lines))
+    findings = check_trace(merge_traces(traces))
+    return form_replay(", ".join(paths), findings)
+
+
 def replay_file(path):
     """Check a trace file.
 
@@ -595,9 +660,19 @@
     """
     with open(path, encoding="utf-8", errors="replace") as lines:
         findings = check_trace(lines)
+    return form_replay(path, findings)
+
+
+def form_replay(name, findings):
+    """Return the `Replay` that reports findings.
+
+    Args:
+        name: Name of the trace.
+        findings: Tuple of `Finding`.
+    """
     if not findings:
-        return Replay(PASSED, f"{path}: every stated outcome held")
+        return Replay(PASSED, f"{name}: every stated outcome held")
     first, *others = findings
-    report = [f"{path}: {first.place}: {first.problem}"]
+    report = [f"{name}: {first.place}: {first.problem}"]
     report.extend(f"  then {each.place}: {each.problem}" for each in others)
     return Replay(BROKEN, "\n".join(report))
