--- a/whinwinch/logservice/readers.py
+++ b/whinwinch/logservice/readers.py
@@ -33,16 +33,21 @@
         stream: Name of the stream; each has other readers.
         age: Seconds since the stream was known to be read to its end.
     """
+    zone, region = own.endpoint.zone, own.endpoint.region
     own_weight = _weigh(own.endpoint, stream)
-    before = sum(
-        1
-        for member in members
-        if member.endpoint.zone == own.endpoint.zone
-        and member.endpoint.region == own.endpoint.region
-        and member.state in (membertable.State.ALIVE, membertable.State.LEAVING)
-        and _weigh(member.endpoint, stream) < own_weight
-    )
-    return before < READERS + (SPARE_READERS if age > QUIET else 0)
+    left = READERS + (SPARE_READERS if age > QUIET else 0)
+    for member in members:
+        endpoint = member.endpoint
+        if endpoint.zone != zone or endpoint.region != region:
+            continue
+        if member.state not in (membertable.State.ALIVE, membertable.State.LEAVING):
+            continue
+        if _weigh(endpoint, stream) < own_weight:
+            left -= 1
+        if left == 0:
+            # Most daemons aren't readers and find that out after a few members.
+            return False
+    return True
 
 
 def _weigh(endpoint, stream):
