--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -13,6 +13,8 @@
 ZONES = ("zone-1", "zone-2", "zone-3", "zone-4")
 RESOURCES = pathlib.Path(__file__).with_name("resources.json")
 START_TIMEOUT = 40.0
+# "Several hundred appends a second" is what the Press's log takes.
+LOG_RATE = 300
 PROBE_HEADERS = {"Whinwinch-Timeout": "2000", "Whinwinch-Caller": "probe"}
 
 
@@ -124,7 +126,7 @@
         A `Mesh` that isn't ready yet.
     """
     (log_port,) = processes.find_ports(1)
-    log_arguments = ("--address", f"{HOST}:{log_port}", *log_options)
+    log_arguments = ("--address", f"{HOST}:{log_port}", "--rate", LOG_RATE)
     log = running.start("log", "standins.log", log_arguments)
     token = secrets.token_hex()
     env = {
