--- a/standins/backend.py
+++ b/standins/backend.py
@@ -15,9 +15,12 @@
 - ``direct=1``: calls go straight to the backend servers given by ``--direct``,
   so that the same chain can be measured without daemons.
 
-Outgoing calls carry ``X-Request-Id`` and nothing else. A run is counted by
-``Idempotency-Key`` and by marker (without one by ``X-Request-Id``) once it holds
-a slot, whatever becomes of its answer; ``GET /ran`` lists both counts.
+A deadline (``Whinwinch-Timeout``, milliseconds) ends the wait for a slot by 503
+and the service by 504. Outgoing calls carry ``X-Request-Id`` and nothing else.
+
+A run is counted by ``Idempotency-Key`` and by marker (without one by
+``X-Request-Id``) once it holds a slot, whatever becomes of its answer;
+``GET /ran`` lists both counts.
 
 Besides: ``GET /load``, ``GET /health``, ``GET /stats``, ``POST /faults`` (see
 `work.Faults`). On SIGTERM it withdraws its announcement, finishes what it has
@@ -27,6 +30,7 @@
 import argparse
 import itertools
 import json
+import math
 import threading
 import time
 from typing import NamedTuple
@@ -235,21 +239,25 @@
     def serve(environ):
         query = serving.read_query(environ)
         serving.read_body(environ)
+        deadline = time.monotonic() + find_time_left(environ)
         try:
-            with load.hold_slot(find_patience(environ)):
-                return run(environ, query)
+            with load.hold_slot(min(find_time_left(environ), MAX_PATIENCE)):
+                return run(environ, query, deadline - time.monotonic())
         except work.Shed:
             retry = (("Retry-After", RETRY_AFTER),)
             return serving.form_json(503, {"error": "no slot"}, retry)
 
-    def run(environ, query):
+    def run(environ, query, left):
         request = environ.get("HTTP_X_REQUEST_ID", "")
         # A daemon gives each attempt an identifier of its own; the marker is
         # the one that the caller knows, at every hop.
         marker = query.get("marker") or request
         load.count_run(marker, environ.get("HTTP_IDEMPOTENCY_KEY", ""))
         factor = float(query.get("work", 1)) * load.faults["slow"]
-        time.sleep(find_service_time(factor))
+        wanted = find_service_time(factor)
+        time.sleep(max(0.0, min(wanted, left)))
+        if wanted > left:
+            return serving.form_json(504, {"error": "deadline"})
         path = environ["PATH_INFO"]
         calls = settings.calls + parse_next(query.get("next", ""), path)
         below = [make_call(call, request, query) for call in calls]
@@ -258,12 +266,10 @@
     return serve
 
 
-def find_patience(environ):
-    """Return how long a request may wait for a slot, in seconds."""
+def find_time_left(environ):
+    """Return the seconds until nobody wants the answer, infinite without a limit."""
     timeout = environ.get("HTTP_WHINWINCH_TIMEOUT", "")
-    if not timeout.isdecimal():
-        return MAX_PATIENCE
-    return min(int(timeout) / 1000, MAX_PATIENCE)
+    return int(timeout) / 1000 if timeout.isdecimal() else math.inf
 
 
 def form_reply(settings, path, request, query, below):
--- a/test/standins/test_backend.py
+++ b/test/standins/test_backend.py
@@ -80,6 +80,17 @@
         self.assertEqual(self.http.request("GET", f"{url}/x").status, 200)
         self.assertEqual(load.report_runs()["requests"]["r"], 2)
 
+    def test_deadline_frees_the_slot(self):
+        """A request takes far longer than its caller waits for it.
+
+        It is given up at its deadline, and its slot is free for the next one.
+        """
+        url, load = start(self, backend.Settings("archive", 1, 3600.0))
+        headers = {"Whinwinch-Timeout": "1"}
+        answer = self.http.request("GET", f"{url}/x", headers=headers)
+        self.assertEqual(answer.status, 504)
+        self.assertTrue(load.wait_until_idle(20))
+
     def test_announces_and_withdraws(self):
         heard, seen = [], threading.Event()
 
