--- a/standins/backend.py
+++ b/standins/backend.py
@@ -28,61 +28,24 @@
 """
 
 import argparse
-import itertools
 import json
 import math
 import threading
 import time
 from typing import NamedTuple
-from urllib.parse import urlencode
 
-import urllib3
-
-from . import serving, work
+from . import announcement, outgoing, serving, work
 
 # Threads beyond slots and queue, so that /load and /health answer and shedding
 # works while every slot and every place in the queue is taken.
 SPARE_THREADS = 16
 
-ANNOUNCE_INTERVAL = 1.0
-ANNOUNCE_TIMEOUT = 0.8
-CALL_TIMEOUT = 10.0
 DRAIN_TIMEOUT = 15.0
 # After the withdrawal a request may still be on its way from the daemon.
 LINGER = 0.3
 COLD_FACTOR = 4.0
 MAX_PATIENCE = 5.0
 RETRY_AFTER = "1"
-# What the query of an outgoing call takes over from the request's.
-KEPT = ("marker", "work", "direct")
-
-
-class Call(NamedTuple):
-    """One outgoing call.
-
-    Attributes:
-        service: Service to call.
-        path: Path there, with its slash.
-        rest: Calls that the called side has to make in turn.
-    """
-
-    service: str
-    path: str
-    rest: str = ""
-
-
-class Called(NamedTuple):
-    """What came of one outgoing call.
-
-    Attributes:
-        status: HTTP status.
-        answer: The JSON of the body, None when there is none.
-        retry_after: Value of ``Retry-After``, or "".
-    """
-
-    status: int
-    answer: dict | None
-    retry_after: str = ""
 
 
 class Settings(NamedTuple):
@@ -107,75 +70,10 @@
     connections: int = 500
     cold: float = 0.0
     daemon: str = ""
-    calls: tuple[Call, ...] = ()
+    calls: tuple[outgoing.Call, ...] = ()
     direct: dict[str, tuple[str, ...]] = {}
 
 
-def parse_calls(text):
-    """Read "submissions:/status,archive:/x" into calls."""
-    parts = (part.partition(":") for part in text.split(",") if part)
-    return tuple(Call(service, path or "/") for service, _, path in parts)
-
-
-def parse_direct(text):
-    """Read "archive=host:port+host:port,..." into addresses by service."""
-    parts = (part.partition("=") for part in text.split(",") if part)
-    return {service: tuple(addresses.split("+")) for service, _, addresses in parts}
-
-
-def parse_next(text, path):
-    """Read the query's ``next``; return a tuple with the one call or none."""
-    if not text:
-        return ()
-    first, _, rest = text.partition(",")
-    service, slash, own_path = first.partition("/")
-    return (Call(service, f"/{own_path}" if slash else path, rest),)
-
-
-def build_caller(settings):
-    """Return a function that makes one outgoing call.
-
-    Args:
-        settings: `Settings`.
-    """
-    http = urllib3.PoolManager(
-        num_pools=32, maxsize=settings.slots + settings.queue, retries=False
-    )
-    turns = itertools.count()
-
-    def find_url(call, direct):
-        if not direct:
-            return f"{settings.daemon}/services/{call.service}{call.path}"
-        addresses = settings.direct.get(call.service)
-        if not addresses:
-            raise LookupError(f"no address given for {call.service}")
-        return f"http://{addresses[next(turns) % len(addresses)]}{call.path}"
-
-    def make_call(call, request, query):
-        kept = {name: query[name] for name in KEPT if name in query}
-        if call.rest:
-            kept["next"] = call.rest
-        headers = {"X-Request-Id": request}
-        try:
-            url = f"{find_url(call, 'direct' in query)}?{urlencode(kept)}"
-            answer = http.request("GET", url, headers=headers, timeout=CALL_TIMEOUT)
-            retry_after = answer.headers.get("Retry-After", "")
-            return Called(answer.status, read_json(answer.data), retry_after)
-        except (LookupError, urllib3.exceptions.HTTPError):
-            return Called(502, None)
-
-    return make_call
-
-
-def read_json(body):
-    """Return the JSON object in a body, None when there is none."""
-    try:
-        value = json.loads(body)
-    except ValueError:
-        return None
-    return value if isinstance(value, dict) else None
-
-
 def build_server(address, settings):
     """Bind a backend server.
 
@@ -234,7 +132,7 @@
     find_service_time = work.build_service_time(
         settings.service_time, settings.cold, COLD_FACTOR
     )
-    make_call = build_caller(settings)
+    make_call = outgoing.build_caller(settings)
 
     def serve(environ):
         query = serving.read_query(environ)
@@ -259,7 +157,7 @@
         if wanted > left:
             return serving.form_json(504, {"error": "deadline"})
         path = environ["PATH_INFO"]
-        calls = settings.calls + parse_next(query.get("next", ""), path)
+        calls = settings.calls + outgoing.parse_next(query.get("next", ""), path)
         below = [make_call(call, request, query) for call in calls]
         return spoil(form_reply(settings, path, request, query, below), load)
 
@@ -308,38 +206,6 @@
     return reply
 
 
-def announce(settings, address, stopping):
-    """Announce a backend server to its daemon until `stopping`, then withdraw.
-
-    Args:
-        settings: `Settings`, whose daemon isn't "".
-        address: `serving.Address` where it serves.
-        stopping: `threading.Event`.
-    """
-    http = urllib3.PoolManager(retries=False, timeout=ANNOUNCE_TIMEOUT)
-    url = f"{settings.daemon}/announcement"
-    announcement = {
-        "service": settings.service,
-        "address": str(address),
-        "slots": settings.slots,
-        "connections": settings.connections,
-        "load": "/load",
-        "health": "/health",
-    }
-    while not stopping.is_set():
-        send(http, "PUT", url, announcement)
-        stopping.wait(ANNOUNCE_INTERVAL)
-    send(http, "DELETE", url)
-
-
-def send(http, method, url, value=None):
-    """Send to the daemon; one that is away hears the next announcement."""
-    try:
-        http.request(method, url, json=value)
-    except urllib3.exceptions.HTTPError:
-        return
-
-
 def parse_settings(arguments):
     """Read the command line; return the address and the `Settings`."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -351,8 +217,8 @@
     parser.add_argument("--connections", type=int, default=500)
     parser.add_argument("--cold", type=float, default=0.0, help="seconds")
     parser.add_argument("--daemon", default="", help="URL, as http://127.0.0.1:PORT")
-    parser.add_argument("--calls", type=parse_calls, default=())
-    parser.add_argument("--direct", type=parse_direct, default={})
+    parser.add_argument("--calls", type=outgoing.parse_calls, default=())
+    parser.add_argument("--direct", type=outgoing.parse_direct, default={})
     options = vars(parser.parse_args(arguments))
     address = options.pop("address")
     if options["queue"] is None:
@@ -368,7 +234,9 @@
     address = serving.find_address(server)
     print(f"{settings.service} on {address}", flush=True)
     stopping = threading.Event()
-    announcer = threading.Thread(target=announce, args=(settings, address, stopping))
+    announcer = threading.Thread(
+        target=announcement.announce, args=(settings, address, stopping)
+    )
     if settings.daemon:
         announcer.start()
     serving.wait_for_signal()
--- a/test/standins/test_backend.py
+++ b/test/standins/test_backend.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from standins import backend, serving
+from standins import announcement, backend, outgoing, serving
 
 ANYWHERE = serving.Address("127.0.0.1", 0)
 
@@ -35,8 +35,8 @@
         self.assertEqual((below["marker"], below["request"]), ("m7", "r1"))
 
     def test_next_call_keeps_the_rest(self):
-        (call,) = backend.parse_next("archive,royalties/payouts", "/list")
-        self.assertEqual(call, backend.Call("archive", "/list", "royalties/payouts"))
+        (call,) = outgoing.parse_next("archive,royalties/payouts", "/list")
+        self.assertEqual(call, outgoing.Call("archive", "/list", "royalties/payouts"))
 
     def test_call_to_nowhere(self):
         url, _ = start(self, backend.Settings("catalog", 1, 0.0))
@@ -108,7 +108,7 @@
         stopping = threading.Event()
         address = serving.Address("127.0.0.1", 9)
         arguments = (settings, address, stopping)
-        announcer = threading.Thread(target=backend.announce, args=arguments)
+        announcer = threading.Thread(target=announcement.announce, args=arguments)
         announcer.start()
         self.assertTrue(seen.wait(20))
         stopping.set()
