--- a/test/standins/test_backend.py
+++ b/test/standins/test_backend.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from standins import backend, serving
+from standins import announcement, backend, outgoing, serving
 
 ANYWHERE = serving.Address("127.0.0.1", 0)
 
@@ -35,8 +35,8 @@
         self.assertEqual((below["marker"], below["request"]), ("m7", "r1"))
 
     def test_next_call_keeps_the_rest(self):
-        (call,) = backend.parse_next("archive,royalties/payouts", "/list")
-        self.assertEqual(call, backend.Call("archive", "/list", "royalties/payouts"))
+        (call,) = outgoing.parse_next("archive,royalties/payouts", "/list")
+        self.assertEqual(call, outgoing.Call("archive", "/list", "royalties/payouts"))
 
     def test_call_to_nowhere(self):
         url, _ = start(self, backend.Settings("catalog", 1, 0.0))
@@ -80,6 +80,17 @@
         self.assertEqual(self.http.request("GET", f"{url}/x").status, 200)
         self.assertEqual(load.report_runs()["requests"]["r"], 2)
 
+    def test_deadline_frees_the_slot(self):
+        """A request takes far longer than its caller waits for it.
+
+        It is given up at its deadline, and its slot is free for the next one.
+        """
+        url, load = start(self, backend.Settings("archive", 1, 3600.0))
+        headers = {"Whinwinch-Timeout": "1"}
+        answer = self.http.request("GET", f"{url}/x", headers=headers)
+        self.assertEqual(answer.status, 504)
+        self.assertTrue(load.wait_until_idle(20))
+
     def test_announces_and_withdraws(self):
         heard, seen = [], threading.Event()
 
@@ -97,7 +108,7 @@
         stopping = threading.Event()
         address = serving.Address("127.0.0.1", 9)
         arguments = (settings, address, stopping)
-        announcer = threading.Thread(target=backend.announce, args=arguments)
+        announcer = threading.Thread(target=announcement.announce, args=arguments)
         announcer.start()
         self.assertTrue(seen.wait(20))
         stopping.set()
