--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -153,8 +153,7 @@
         record.failing += weight * (failed - record.failing)
         # A quick failure says nothing of how long the work takes: counted, it
         # would draw more work to the endpoint that fails.
-        served = latency * estimate_served(answer.load)
-        slowness = served / self._note_latency(served, failed, request)
+        slowness = latency / self._note_latency(latency, failed, request)
         if not failed or slowness > record.slowness:
             self._note_slowness(record, slowness, now)
 
@@ -290,17 +289,6 @@
         return cost
 
 
-def estimate_served(load):
-    """Return the share of a latency that was not spent in the queue, roughly.
-
-    A queue shows in the load and is evened out by cost; only an endpoint that
-    takes longer for the work itself is to be set aside.
-    """
-    if load.waiting == 0:
-        return 1.0
-    return max(load.in_service, 1) / (max(load.in_service, 1) + load.waiting)
-
-
 def is_failure(answer):
     """Return whether an answer shows that the endpoint failed its work."""
     if answer.deeper:
