--- a/test/operators/test_client.py
+++ b/test/operators/test_client.py
@@ -39,6 +39,8 @@
     def test_errors_have_types(self):
         with self.assertRaises(client.NotFound):
             self.client.get_service("a/b?c")
+        with self.assertRaises(client.NotFound):
+            self.client.delete_service("archive")
         with self.assertRaises(client.AccessDenied):
             self.make_client(self.url, token="x" * 20).list_services()
         with self.assertRaises(errors.InputErrors) as caught:
@@ -72,10 +74,13 @@
     def test_log_down(self):
         """The log is down, or its answer is lost, while a change is applied."""
         self.log.fault = fakes.LogDown(False)
-        with self.assertRaises(client.Unreachable):
+        with self.assertLogs(level="WARNING"), self.assertRaises(client.Unreachable):
             self.client.apply_service(DOCUMENT)
         self.log.fault = fakes.LogDown(None)
-        with self.assertRaises(client.Undecided) as caught:
+        with (
+            self.assertLogs(level="WARNING"),
+            self.assertRaises(client.Undecided) as caught,
+        ):
             self.client.apply_service(DOCUMENT)
         self.assertTrue(caught.exception.change_id)
 
@@ -98,7 +103,8 @@
 
         self.store._append = append
         subject = self.make_client(self.url, self.url)
-        self.assertEqual(subject.apply_service(DOCUMENT), 1)
+        with self.assertLogs(level="WARNING"):
+            self.assertEqual(subject.apply_service(DOCUMENT), 1)
         self.assertEqual(self.client.get_service("archive").spec, {"timeout": 9})
 
     def test_same_key_for_another_change(self):
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import math
 import random
 import signal
+import time
 from typing import NamedTuple
 
 import grpc
@@ -18,6 +20,7 @@
     flight,
     levels,
     membership,
+    membertable,
     messages,
     metrics,
     placement,
@@ -35,8 +38,8 @@
 from .daemons import server as peer_server
 from .guarded import Guarded
 from .lifecycle import Phase, Way
-from .logservice import follower, joins, readers, relay, streams
-from .logservice.client import LogClient
+from .logservice import follower, joining, readers, relay, snapshots, streams
+from .logservice.client import LogClient, LogUnavailable
 from .messages import Answer, Outcome, Reason
 from .operators import access, api
 from .operators.store import Store
@@ -44,6 +47,9 @@
 # Threads for what blocks in control: gossip sent, the log read and appended to.
 CONTROL_THREADS = 12
 GOSSIP_TIMEOUT = 3.0
+# A daemon that stops doesn't wait longer than this for the log.
+GOODBYE_SECONDS = 1.0
+ALONE_SECONDS = 5.0
 LOG_POOL = 4
 SECONDS_TO_COME_BACK = 1.0
 
@@ -130,6 +136,7 @@
     ledger = Guarded(retries.Ledger())
 
     config = build_relay(store)
+    counts = metrics.Metrics()
 
     def tick(now):
         with ledger as state:
@@ -146,14 +153,16 @@
         store=store,
         relay=config,
         flights=flights,
-        metrics=metrics.Metrics(),
+        metrics=counts,
         running=running.Running(),
         ledger=ledger,
         levels=Guarded(levels.Levels()),
         peers=peer_client.PeerClient(
             loop.time, access.choose_peer_token(settings.peer_token)
         ),
-        control=control.Control(loop, settings, own, members, log, flights, tick),
+        control=control.Control(
+            loop, settings, own, members, log, flights, tick, counts.count_claim
+        ),
     )
 
 
@@ -295,10 +304,14 @@
 
     def note(incoming, routed, seconds):
         answer = routed.answer
-        parts.metrics.record_latency(incoming.service, routed.importance, seconds)
-        parts.metrics.count_outcome(incoming.service, answer.outcome, answer.reason)
-        for _ in range(routed.retries):
-            parts.metrics.count_retry(incoming.service)
+        parts.metrics.note_call(
+            incoming.service,
+            routed.importance,
+            answer.outcome,
+            answer.reason,
+            seconds,
+            routed.retries,
+        )
 
     return note
 
@@ -378,17 +391,43 @@
     return router.Routed(answer, incoming.identifier or attempt, 0)
 
 
+def build_readiness(parts):
+    """Return a function that says why callers should stay away, "" for nothing.
+
+    A daemon that takes callers before it knows the other daemons tells them
+    "no-endpoint" of services that are there; after the restart of a zone all
+    its callers would be told so.
+    """
+    configured = []
+
+    def find_obstacle():
+        if parts.control.phase is not Phase.SERVING:
+            return "leaving"
+        if not parts.store.ready:
+            return "no configuration read yet"
+        configured.append(parts.loop.time())
+        del configured[1:]
+        if parts.members.next_page >= membertable.BUCKETS:
+            return ""
+        # The only daemon of its mesh has nobody to get the list from.
+        if parts.loop.time() - configured[0] < ALONE_SECONDS:
+            return "no member list received yet"
+        return ""
+
+    return find_obstacle
+
+
 def build_probes(parts):
     """Return the health, readiness and metrics pages by path."""
+    find_obstacle = build_readiness(parts)
 
     def check_health():
         return "200 OK", "ok\n"
 
     def check_readiness():
-        if parts.control.phase is not Phase.SERVING:
-            return "503 Service Unavailable", "leaving\n"
-        if not parts.store.ready:
-            return "503 Service Unavailable", "no configuration read yet\n"
+        obstacle = find_obstacle()
+        if obstacle:
+            return "503 Service Unavailable", f"{obstacle}\n"
         return "200 OK", "ready\n"
 
     def render_metrics():
@@ -408,6 +447,7 @@
             store=parts.store,
             operators=operators,
             find_status=lambda: describe_status(parts, gatekeeper),
+            begin_drain=parts.control.drain_soon,
             render_metrics=parts.metrics.render_metrics,
             max_key_window=parts.settings.key_window,
         )
@@ -450,34 +490,73 @@
         for task in (
             gossip.run_gossip(talk),
             follow_configuration(parts, talk),
-            joins.run_joins(parts.members, parts.log, asyncio.to_thread),
+            write_snapshots(parts),
+            joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
         )
     ]
     ending = asyncio.create_task(parts.control.run())
     done, _ = await asyncio.wait([*tasks, ending], return_when=asyncio.FIRST_COMPLETED)
+    if parts.control.phase is Phase.STOPPED:
+        await say_goodbye(parts, talk)
     for task in (*tasks, ending):
         task.cancel()
     for task in done:
         task.result()
 
 
+async def say_goodbye(parts, talk):
+    """Tell peers and the log that this daemon has gone, for a bounded time.
+
+    Peers would find out by their probes, some seconds later.
+    """
+    parts.members.leave(parts.loop.time())
+    talk.wake.set()
+    _, append = build_stream(parts, streams.MEMBERS)
+    with contextlib.suppress(TimeoutError, LogUnavailable):
+        async with asyncio.timeout(GOODBYE_SECONDS):
+            await joining.append_leave(append, parts.members, parts.loop.time())
+    await asyncio.sleep(gossip.PUSH_INTERVAL)
+
+
+def build_stream(parts, stream):
+    """Return awaitable functions that read and append to a stream of the log."""
+
+    async def read(offset, limit, wait):
+        return await asyncio.to_thread(parts.log.read, stream, offset, limit, wait)
+
+    async def append(data):
+        return await asyncio.to_thread(parts.log.append, stream, data)
+
+    return read, append
+
+
 async def follow_configuration(parts, talk):
     """Read the configuration from the log while it is this daemon's turn."""
+    read, _ = build_stream(parts, streams.CONFIGURATION)
+    await follower.run_follower(
+        read, parts.relay, lambda now: is_reader(parts, now), talk.wake
+    )
 
-    async def read(offset, limit, wait):
-        return await asyncio.to_thread(
-            parts.log.read, streams.CONFIGURATION, offset, limit, wait
-        )
 
-    def is_reader(now):
-        return readers.is_reader(
-            parts.members.members(),
-            parts.members.own,
-            streams.CONFIGURATION,
-            parts.relay.find_age(now),
-        )
+async def write_snapshots(parts):
+    """Write snapshots of the configuration while this daemon reads the log."""
+    _, append = build_stream(parts, streams.CONFIGURATION)
+    await snapshots.run_snapshots(
+        lambda: parts.store.plan_snapshot(parts.settings.log_retention, time.time()),
+        parts.store.encode_snapshot,
+        append,
+        lambda: is_reader(parts, parts.loop.time()),
+    )
 
-    await follower.run_follower(read, parts.relay, is_reader, talk.wake)
+
+def is_reader(parts, now):
+    """Return whether this daemon reads the configuration from the log."""
+    return readers.is_reader(
+        parts.members.members(),
+        parts.members.own,
+        streams.CONFIGURATION,
+        parts.relay.find_age(now),
+    )
 
 
 def stop_servers(parts, peers):
