Forget kinds whose first job failed; leave the correction alone when idle

Cause: a kind whose first job failed counted as running, so as long, for ever; one slow job alone made a kind long; an idle gate took its empty queue for spare capacity and let the next surge in for it.

--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -84,6 +84,17 @@
         self.assertTrue(durations.is_long("export", 1.2))
         self.assertFalse(durations.is_long("list", 1.2))
 
+    def test_kind_whose_first_job_failed_is_not_long(self):
+        """The first job of a kind fails, so its service time doesn't count.
+
+        Remembered as still running, the kind would be held back as a long one.
+        """
+        durations = fairness.Durations()
+        durations.observe("list", 0.01)
+        durations.start("search", 1.0)
+        durations.end("search")
+        self.assertFalse(durations.is_long("search", 9.0))
+
     def test_long_jobs_keep_a_part_of_the_slots(self):
         self.assertEqual(fairness.limit_long(70, 70.0), 8)
         self.assertEqual(fairness.limit_long(70, 10.0), 70 - 17)
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -27,6 +27,7 @@
 HOT_SHARE = 0.05
 # Jobs that take this many times the median are kept to their part of the slots.
 LONG_RATIO = 8.0
+SURE_COUNT = 3
 MOST_KINDS = 256
 QUICK_FALL = 0.2
 QUICK_RISE = 0.02
@@ -221,11 +222,18 @@
         if kind not in self._seen and len(self._started) < MOST_KINDS:
             self._started.setdefault(kind, now)
 
+    def end(self, kind):
+        """Note that a job of a kind has left, whether or not it counts.
+
+        Otherwise a kind whose first job failed would be held for long ever
+        after.
+        """
+        self._started.pop(kind, None)
+
     def observe(self, kind, seconds):
         """Take the service time of one job."""
         seen = self._seen.pop(kind, Seen(seconds, 0.0, seconds, 0.0))
         self._seen[kind] = seen.add(seconds)
-        self._started.pop(kind, None)
         while len(self._seen) > MOST_KINDS:
             self._seen.popitem(last=False)
         self._observed += 1
@@ -251,7 +259,9 @@
             return False
         seen = self._seen.get(kind)
         if seen is not None:
-            return seen.mean > LONG_RATIO * self._median
+            # A single job may be long by chance; far longer, it isn't chance.
+            ratio = LONG_RATIO if seen.count >= SURE_COUNT else 2.0 * LONG_RATIO
+            return seen.mean > ratio * self._median
         # The first long jobs show themselves by staying: waiting for one to
         # end would let the ones that follow take every slot meanwhile.
         started = self._started.get(kind)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -203,6 +203,7 @@
             lane.observe(service_time, now)
             if lane is self._short:
                 self._limit.observe(service_time, len(self._running) + 1, now)
+        self._durations.end(running.kind)
         lane.end(running.began)
         return self._admit_waiting(now)
 
@@ -408,7 +409,10 @@
         length = lane.choose_length()
         excess = lane.in_service + len(lane.queue) - slots
         error = length / 2.0 - max(excess, -length / 2.0)
-        lane.trim(error / length, elapsed)
+        # Without a queue or a level there is nothing to correct: an idle time
+        # would be taken for spare capacity, and the next surge let in for it.
+        is_pressed = lane.queue or lane.shares.rest_level > 0.0
+        lane.trim(error / length if is_pressed else 1.0 - lane.factor, elapsed)
         if excess < 0:
             # Slots stand idle while a level keeps requests out: the demand is
             # less than it was. So few arrive above a high level that counting
