Close unused channels, ask for a channel's state only when needed, test stops harder

- gRPC polled every channel's state five times a second, and channels to former partners of gossip were never closed.
- A key that is too old is answered unknown, not "not run": the work may have run when it was good, and a new key would run it again.
The test of verdicts listed it under "not run"; it now demands unknown.

--- a/test/failures/test_stops.py
+++ b/test/failures/test_stops.py
@@ -9,8 +9,17 @@
 CALLERS = 6
 
 
+# Payouts that take long enough to be in flight whenever something stops. Cut
+# off, their outcome is unknown and nobody may send them again, so that the
+# caller sees it; a read would be tried elsewhere unseen.
+LONG_WORK = 50
+
+
 class Load:
-    """Callers that ask for whole answers without a pause, at given nodes."""
+    """Callers that ask for whole answers without a pause, at given nodes.
+
+    Every other one asks for long payouts, the rest for reads.
+    """
 
     def __init__(self, test, nodes):
         self._test = test
@@ -25,10 +34,22 @@
         while not self._ending.is_set():
             node = self._nodes[number % len(self._nodes)]
             marker = meshes.new_marker()
-            reply = self._test.call(
-                node, f"royalties/x?marker={marker}", Whinwinch_Timeout="8000"
-            )
-            self.replies.append((marker, reply))
+            ask = self._pay if number % 2 else self._read
+            self.replies.append((marker, ask(node, marker)))
+
+    def _read(self, node, marker):
+        return self._test.call(
+            node, f"royalties/x?marker={marker}", Whinwinch_Timeout="8000"
+        )
+
+    def _pay(self, node, marker):
+        return self._test.call(
+            node,
+            f"royalties/payouts?marker={marker}&work={LONG_WORK}",
+            "POST",
+            Idempotency_Key=meshes.new_key(),
+            Whinwinch_Timeout="8000",
+        )
 
     def end(self):
         """Let the callers end and return what each was told."""
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -228,7 +228,9 @@
             lost = claims.ClaimVerdict(verdict)
             self.assertFalse(claims.may_run(lost, False, 10.0, 9.0))
             settled = claims.settle_verdict(lost)
-            told = Outcome.UNKNOWN if verdict is Verdict.LOST else Outcome.NOT_RUN
+            # Of a key that was good once, an earlier ask may have run.
+            doubtful = (Verdict.LOST, Verdict.STALE, Verdict.GAP)
+            told = Outcome.UNKNOWN if verdict in doubtful else Outcome.NOT_RUN
             self.assertIs(settled.outcome, told)
 
 
--- a/whinwinch/claims.py
+++ b/whinwinch/claims.py
@@ -155,11 +155,14 @@
 
 
 # A lost claim says nothing of the work itself: the winner may be running it.
-# Told "not run", the caller would make a new key and pay a second time.
+# Told "not run", the caller would make a new key and pay a second time. The
+# same holds for a key that is too old: it was good once, and an earlier ask may
+# have run. A key that is still good can be asked again, so "not run" of this
+# attempt does no harm there.
 SETTLEMENTS = {
     Verdict.LOST: Settlement(Outcome.UNKNOWN, Reason.KEY_CLAIMED),
-    Verdict.STALE: Settlement(Outcome.NOT_RUN, Reason.KEY_AGE),
-    Verdict.GAP: Settlement(Outcome.NOT_RUN, Reason.KEY_AGE),
+    Verdict.STALE: Settlement(Outcome.UNKNOWN, Reason.KEY_AGE),
+    Verdict.GAP: Settlement(Outcome.UNKNOWN, Reason.KEY_AGE),
     Verdict.LOG_DOWN: Settlement(Outcome.NOT_RUN, Reason.LOG_DOWN),
     Verdict.PENDING: Settlement(Outcome.NOT_RUN, Reason.LOG_DOWN),
     Verdict.ABANDONED: Settlement(Outcome.NOT_RUN, Reason.ABANDONED),
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -143,7 +143,12 @@
     config = build_relay(store, notes)
     counts = metrics.Metrics()
 
+    peers = peer_client.PeerClient(
+        loop.time, access.choose_peer_token(settings.peer_token)
+    )
+
     def tick(now):
+        peers.close_idle(now)
         with ledger as state:
             state.expire(now)
         if not store.ready and config.find_age(now) < math.inf:
@@ -162,9 +167,7 @@
         running=running.Running(),
         ledger=ledger,
         levels=Guarded(levels.Levels()),
-        peers=peer_client.PeerClient(
-            loop.time, access.choose_peer_token(settings.peer_token)
-        ),
+        peers=peers,
         control=control.Control(
             loop,
             settings,
--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -6,6 +6,7 @@
 nothing was sent, and anything that fails after that is unknown.
 """
 
+import contextlib
 import threading
 
 import grpc
@@ -16,6 +17,9 @@
 # Connecting within a region takes a few round trips; an address that takes
 # longer is tried again by the next request while this one goes elsewhere.
 CONNECT_TIMEOUT = 0.5
+# A partner of gossip is used every second; an endpoint that gets no call for
+# this long is worth a new connection.
+IDLE_SECONDS = 120.0
 # A silent peer, cut off without a closed connection, is noticed by pings.
 CHANNEL_OPTIONS = (
     ("grpc.keepalive_time_ms", 10_000),
@@ -29,39 +33,52 @@
 
 
 class Peer:
-    """One other daemon's channel and whether it is ready."""
+    """One other daemon's channel and whether it was ready when last heard of.
+
+    gRPC tells of a channel's state by a thread that polls five times a second,
+    for each channel. So it is asked only until the channel is ready, and again
+    after a call has failed.
+    """
 
     def __init__(self, address):
-        self._ready = threading.Event()
         self._channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+        self._ready = threading.Event()
+        # A future that is done already calls back at once, inside the lock.
+        self._lock = threading.RLock()
+        self._connecting = None
+        self.in_flight = 0
+        self.last_used = 0.0
         self.stub = peer_pb2_grpc.PeerStub(self._channel)
-        self._channel.subscribe(self._note_state, try_to_connect=True)
-
-    def _note_state(self, state):
-        if state is grpc.ChannelConnectivity.READY:
-            self._ready.set()
-            return
-        self._ready.clear()
 
     def wait_ready(self, timeout):
         """Return whether the channel is ready within `timeout` seconds."""
         if self._ready.is_set():
             return True
-        # An idle channel connects only when it is asked to.
-        self._channel.subscribe(_ignore_state, try_to_connect=True)
-        ready = self._ready.wait(timeout)
-        self._channel.unsubscribe(_ignore_state)
-        return ready
+        with self._lock:
+            if self._connecting is None:
+                self._connecting = grpc.channel_ready_future(self._channel)
+                self._connecting.add_done_callback(self._note_ready)
+        return self._ready.wait(timeout)
+
+    def note_failure(self):
+        """Ask for the channel's state again before the next call."""
+        self._ready.clear()
+
+    def _note_ready(self, future):
+        with self._lock:
+            self._connecting = None
+        if not future.cancelled():
+            self._ready.set()
 
     def close(self):
         """Close the channel; calls in flight fail."""
+        with self._lock:
+            connecting = self._connecting
+        if connecting is not None:
+            connecting.cancel()
         self._channel.close()
 
 
-def _ignore_state(state):
-    del state
-
-
 class PeerClient:
     """Channels to the other daemons, opened at the first call.
 
@@ -78,7 +95,10 @@
 
     def call(self, address, request):
         """Send one attempt and return its answer; never raises for the network."""
-        peer = self._find_peer(address)
+        with self._use_peer(address) as peer:
+            return self._call_peer(peer, request)
+
+    def _call_peer(self, peer, request):
         left = request.deadline - self._clock()
         if left <= 0:
             return _build_failure(request, Outcome.NOT_RUN, Reason.DEADLINE)
@@ -94,6 +114,8 @@
             reply = peer.stub.Call(message, timeout=timeout, metadata=self._metadata)
             answer = codec.decode_answer(reply)
         except grpc.RpcError as error:
+            if error.code() is grpc.StatusCode.UNAVAILABLE:
+                peer.note_failure()
             return _read_error(request, error)
         except ValueError:
             return _build_failure(request, Outcome.UNKNOWN, Reason.BROKEN)
@@ -109,27 +131,51 @@
         Raises:
             grpc.RpcError: When the peer doesn't answer in `timeout` seconds.
         """
-        peer = self._find_peer(address)
-        return peer.stub.Gossip(message, timeout=timeout, metadata=self._metadata)
+        with self._use_peer(address) as peer:
+            return peer.stub.Gossip(message, timeout=timeout, metadata=self._metadata)
+
+    def close_idle(self, now):
+        """Close the channels that have not been used for `IDLE_SECONDS`.
 
-    def forget(self, addresses):
-        """Close the channels to all daemons but those at `addresses`."""
+        Gossip changes its partners every few seconds, and instances are
+        replaced: without this a daemon would hold a channel to every daemon
+        that there has ever been, and its memory would grow for weeks.
+        """
         with self._lock:
-            gone = [address for address in self._peers if address not in addresses]
-            closing = [self._peers.pop(address) for address in gone]
+            idle = [
+                address
+                for address, peer in self._peers.items()
+                if not peer.in_flight and peer.last_used < now - IDLE_SECONDS
+            ]
+            closing = [self._peers.pop(address) for address in idle]
         for peer in closing:
             peer.close()
 
     def close(self):
-        """Close all channels."""
-        self.forget(frozenset())
+        """Close all channels; calls in flight fail."""
+        with self._lock:
+            closing = list(self._peers.values())
+            self._peers.clear()
+        for peer in closing:
+            peer.close()
+
+    def __len__(self):
+        return len(self._peers)
 
-    def _find_peer(self, address):
+    @contextlib.contextmanager
+    def _use_peer(self, address):
+        """Lend a peer, which is not closed as idle meanwhile."""
         with self._lock:
             peer = self._peers.get(address)
             if peer is None:
                 peer = self._peers[address] = Peer(address)
-            return peer
+            peer.in_flight += 1
+        try:
+            yield peer
+        finally:
+            with self._lock:
+                peer.in_flight -= 1
+                peer.last_used = self._clock()
 
 
 def _read_error(request, error):
