--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -239,7 +239,7 @@
         attempt = self.mesh.next_attempt()
         granted = self.ledger.grant(holder, attempt)
         sent = request._replace(attempt=attempt, budget=granted)
-        self.placement.start(daemon, now)
+        self.placement.start(daemon, now, sent)
 
         def take(answer):
             self._observe(daemon, sent, answer, now)
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -23,9 +23,11 @@
 
 # Below twice the median, chance explains the difference, and load evens it out.
 SLOW_RATIO = 2.0
+# The longest of several answers under way is out for longer than most.
+LONG_OUT_RATIO = 4.0
 FAILING_SHARE = 0.3
 # One probe in so many choices: it must not show in the 99th percentile.
-PROBE_CHOICES = 250
+PROBE_CHOICES = 500
 PROBE_WEIGHT = 0.5
 FORGET_SECONDS = 20.0
 LATENCY_WEIGHT = 0.2
@@ -59,6 +61,13 @@
     ground: str
 
 
+class Sent(NamedTuple):
+    """An attempt under way: when it was sent, the usual latency of its call."""
+
+    time: float
+    usual: float
+
+
 class Record:
     """What this daemon has seen of one endpoint."""
 
@@ -67,6 +76,7 @@
         self.outstanding = 0
         self.slowness = 1.0
         self.slowness_time = now
+        self.sent = {}
         self.answers = 0
         self.failing = 0.0
         self.report = messages.Load()
@@ -74,6 +84,12 @@
         self.full = -math.inf
         self.distrusted = -math.inf
 
+    def wait(self, now):
+        """Return how long the oldest attempt is out, to the usual latency."""
+        for sent in self.sent.values():
+            return (now - sent.time) / sent.usual
+        return 0.0
+
     def forget_slowness(self, now):
         """Let what was seen of the latency count less as time passes."""
         kept = math.exp(-(now - self.slowness_time) / FORGET_SECONDS)
@@ -113,7 +129,7 @@
         open_ = [e for e in present if e.daemon not in exclude]
         if not open_:
             return Choice(None, "no endpoint left")
-        good, aside = self._split(open_, present)
+        good, aside = self._split(open_, present, now)
         probe = self._choose_probe(aside)
         if probe is not None:
             return Choice(probe, "probe of one set aside")
@@ -123,10 +139,20 @@
         ground = f"cost {min(costs):.2f} of {costs[0]:.2f}, {costs[1]:.2f}"
         return Choice(chosen, f"{ground}; {len(aside)} set aside")
 
-    def start(self, daemon_id, now):
-        """Note that an attempt is sent to a daemon."""
+    def start(self, daemon_id, now, request=None):
+        """Note that an attempt is sent to a daemon.
+
+        Args:
+            daemon_id: The daemon that it is sent to.
+            now: Time of the loop's clock in seconds.
+            request: The request with the identifier of this attempt, so that an
+                answer that stays out shows the endpoint to be slow.
+        """
         record = self._find(daemon_id, now)
         record.outstanding += 1
+        usual = self._usual.get(name_kind(request))
+        if request is not None and usual is not None:
+            record.sent[request.attempt] = Sent(now, usual)
 
     def observe(self, daemon_id, answer, latency, now, request=None):
         """Take the answer of an attempt.
@@ -141,6 +167,7 @@
         """
         record = self._find(daemon_id, now)
         record.outstanding = max(0, record.outstanding - 1)
+        record.sent.pop(answer.attempt, None)
         if answer.load.limit > 0:
             record.report = answer.load
             record.reported = now
@@ -175,7 +202,7 @@
         Slowness is measured against the same call: otherwise an endpoint that
         happens to have got a long job would be taken for a slow one.
         """
-        kind = (request.service, request.call) if request else None
+        kind = name_kind(request)
         usual = self._usual.pop(kind, latency)
         if not failed:
             # In proportion, and at most by half, so that one answer of a slow
@@ -218,10 +245,10 @@
             if record.outstanding or now - record.used < DEPARTED_SECONDS
         }
 
-    def _split(self, open_, present):
+    def _split(self, open_, present, now):
         """Split endpoints into good ones and ones set aside."""
         typical = self._find_typical(present)
-        badness = {e.daemon: self._judge(e, typical) for e in present}
+        badness = {e.daemon: self._judge(e, typical, now) for e in present}
         bad = sorted(
             (e.daemon for e in present if badness[e.daemon] > 1.0),
             key=badness.get,
@@ -244,13 +271,14 @@
         )
         return known[(len(known) - 1) // 2] if known else 0.0
 
-    def _judge(self, endpoint, typical):
+    def _judge(self, endpoint, typical, now):
         """Return how bad an endpoint looks; above 1 it may be set aside."""
         record = self._records.get(endpoint.daemon)
-        if record is None or not record.answers:
+        if record is None:
             return 0.0
         slow = record.slowness / (SLOW_RATIO * typical) if typical > 0.0 else 0.0
-        return max(slow, record.failing / FAILING_SHARE)
+        waited = record.wait(now) / LONG_OUT_RATIO
+        return max(slow, waited, record.failing / FAILING_SHARE)
 
     def _choose_probe(self, aside):
         """Return one set aside that is due for a probe, or None."""
@@ -289,6 +317,11 @@
         return cost
 
 
+def name_kind(request):
+    """Return what tells calls of different usual latency apart."""
+    return (request.service, request.call) if request else None
+
+
 def is_failure(answer):
     """Return whether an answer shows that the endpoint failed its work."""
     if answer.deeper:
