--- a/test/test_measure.py
+++ b/test/test_measure.py
@@ -67,9 +67,9 @@
 
 
 class EndpointTest(unittest.TestCase):
-    def judge(self, fault):
-        usual = scenarios.plan_endpoint(None, 0.5, SECONDS, seed=SEED)
-        plan = scenarios.plan_endpoint(fault, 0.5, SECONDS, seed=SEED)
+    def judge(self, fault, seconds):
+        usual = scenarios.plan_endpoint(None, 0.5, seconds, seed=SEED)
+        plan = scenarios.plan_endpoint(fault, 0.5, seconds, seed=SEED)
         return get_values(measure.judge_endpoint(plan, usual, run))
 
     def test_slow_endpoint_does_not_show(self):
@@ -77,13 +77,15 @@
 
         Every fourth request is late, and its caller gives up.
         """
-        values = self.judge(fakes.Fault(slower=10.0))
-        self.assertLess(values["p99 to that without"], 1.5)
+        # Each daemon has to meet the endpoint before it knows it: in a run of
+        # 4 s that alone is near one request in a hundred.
+        values = self.judge(fakes.Fault(slower=10.0), 2 * SECONDS)
+        self.assertLess(values["p99 to that without"], 1.3)
 
     def test_endpoint_that_fails_at_once_attracts_no_work(self):
         """One of four endpoints answers an error at once.
 
         It always looks idle, so it would get most requests and fail them.
         """
-        values = self.judge(fakes.Fault(failing=True))
+        values = self.judge(fakes.Fault(failing=True), SECONDS)
         self.assertGreaterEqual(values["completed"], 0.999)
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -26,6 +26,7 @@
 # The longest of several answers under way is out for longer than most.
 LONG_OUT_RATIO = 4.0
 FAILING_SHARE = 0.3
+WORST_SLOW = 2.0
 # One probe in so many choices: it must not show in the 99th percentile.
 PROBE_CHOICES = 500
 PROBE_WEIGHT = 0.5
@@ -278,7 +279,10 @@
             return 0.0
         slow = record.slowness / (SLOW_RATIO * typical) if typical > 0.0 else 0.0
         waited = record.wait(now) / LONG_OUT_RATIO
-        return max(slow, waited, record.failing / FAILING_SHARE)
+        # Slow work is done all the same: with several bad ones, the one that
+        # fails most of its work is set aside before the slow ones.
+        late = min(max(slow, waited), WORST_SLOW)
+        return max(late, record.failing / FAILING_SHARE)
 
     def _choose_probe(self, aside):
         """Return one set aside that is due for a probe, or None."""
