--- a/bench/latency.py
+++ b/bench/latency.py
@@ -26,7 +26,7 @@
 from hdrh.histogram import HdrHistogram
 
 from demo import mesh
-from standins import caller, processes, serving, trace
+from standins import caller, processes, sender, serving, trace
 
 RATE = 107.0
 CALLERS_THREADS = 32
@@ -156,8 +156,8 @@
     backend = by_service[case.request.service].backend_url
     entry = by_service["catalog"].entry_url
     senders = {
-        "direct": caller.build_sender([backend], direct=True),
-        "daemons": caller.build_sender([entry]),
+        "direct": sender.build_sender([backend], direct=True),
+        "daemons": sender.build_sender([entry]),
     }
     sent = {name: [] for name in senders}
     taken = 0.0
--- a/demo/run.py
+++ b/demo/run.py
@@ -15,7 +15,7 @@
 import time
 from typing import NamedTuple
 
-from standins import caller, processes, trace
+from standins import caller, processes, sender, trace
 
 from . import mesh, report
 
@@ -196,7 +196,7 @@
     catalogs = [node for node in nodes if node.service.name == "catalog"]
     backends = [node.backend_url for node in catalogs]
     entries = [node.entry_url for node in catalogs]
-    ways = (caller.build_sender(backends, direct=True), caller.build_sender(entries))
+    ways = (sender.build_sender(backends, direct=True), sender.build_sender(entries))
     seconds = ([], [])
     for turn in range(WARM_UP + CHAINS):
         for send, taken in zip(ways, seconds, strict=True):
--- a/test/standins/test_caller.py
+++ b/test/standins/test_caller.py
@@ -4,7 +4,7 @@
 import unittest
 import uuid
 
-from standins import backend, caller, serving, trace
+from standins import backend, caller, sender, serving, trace
 
 ANYWHERE = serving.Address("127.0.0.1", 0)
 REQUEST = trace.Request(0.0, "archive", path="/x", timeout=30.0)
@@ -40,17 +40,17 @@
         direct = {"archive": (archive.removeprefix("http://"),)}
         catalog, _ = self.start("catalog", direct=direct)
         request = REQUEST._replace(service="catalog", next="archive/x", size=9)
-        send = caller.build_sender([catalog], direct=True)
+        send = sender.build_sender([catalog], direct=True)
         results = caller.play([request] * 5, send, caller.Retry.NONE, 2)
         self.assertEqual([result.last.succeeded for result in results], [True] * 5)
         longer = request._replace(next="archive/x,archive/x")
-        self.assertFalse(caller.is_whole(b'{"service": "catalog"}', longer, "m"))
+        self.assertFalse(sender.is_whole(b'{"service": "catalog"}', longer, "m"))
 
     def test_swapped_answer_is_not_whole(self):
         """The answer to another caller's request is delivered to this one."""
         body = b'{"service": "archive", "marker": "other", "below": []}'
-        self.assertFalse(caller.is_whole(body, REQUEST, "own"))
-        self.assertTrue(caller.is_whole(body, REQUEST, "other"))
+        self.assertFalse(sender.is_whole(body, REQUEST, "own"))
+        self.assertTrue(sender.is_whole(body, REQUEST, "other"))
 
     def test_retries_hard_with_the_same_key(self):
         """Every answer is lost after the work ran; the caller asks on.
@@ -59,7 +59,7 @@
         """
         url, load = self.start()
         load.set_faults({"lose_answers": 2})
-        send = caller.build_sender([url], direct=True)
+        send = sender.build_sender([url], direct=True)
         request = REQUEST._replace(method="POST", key="new")
         key, sent = caller.ask(send, request, caller.Retry.HARD, random.Random(1))
         outcomes = [each.outcome for each in sent]
@@ -69,11 +69,11 @@
     def test_nobody_there(self):
         url, _ = self.start()
         self.doCleanups()
-        send = caller.build_sender([url], direct=True)
+        send = sender.build_sender([url], direct=True)
         self.assertEqual(send(REQUEST).outcome, "not-run")
 
     def test_result_round_trip(self):
-        sent = caller.Sent("r", "not-run", "queue-full", 503, 0.1, 1, 0.2)
+        sent = sender.Sent("r", "not-run", "queue-full", 503, 0.1, 1, 0.2)
         result = caller.Result(0.0, "archive", "", "low", "", 0.0, 0.1, (sent, sent))
         self.assertEqual(caller.read_result(caller.write_result(result)), result)
 
--- a/test/standins/test_demo.py
+++ b/test/standins/test_demo.py
@@ -3,13 +3,13 @@
 import unittest
 
 from demo import draw, mesh, report, run
-from standins import caller, trace
+from standins import caller, sender, trace
 
 BUDGETS = {"royalties": 1}
 
 
 def form_sent(request, outcome, status=200, **more):
-    return caller.Sent(request, outcome, "", status, 0.1, **more)
+    return sender.Sent(request, outcome, "", status, 0.1, **more)
 
 
 def form_result(*sent, key=""):
