--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -3,6 +3,9 @@
 import random
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from bench import rounds
 from whinwinch import membership, membertable, messages
 from whinwinch.membertable import Member, State
@@ -16,14 +19,16 @@
     return {member.state if member else None for member in found}
 
 
-def run_until(mesh, now, is_done, reaches=lambda sender, receiver: True):
+def run_until(
+    mesh, now, is_done, reaches=lambda sender, receiver: True, intervals=INTERVALS
+):
     """Run rounds until `is_done()`; return the time then."""
-    for _ in range(INTERVALS):
+    for _ in range(intervals):
         if is_done():
             return now
         now += 1.0
         rounds.run_round(mesh, now, reaches)
-    raise AssertionError(f"not done after {INTERVALS} intervals")
+    raise AssertionError(f"not done after {intervals} intervals")
 
 
 def lose(share, seed=1):
@@ -111,15 +116,15 @@
         Each has much to tell; unbounded, gossip would take the network and
         processor time that the callers' requests need.
         """
-        settings = membership.Settings(rumour_rate=500.0, rumour_burst=2_000.0)
-        mesh = rounds.build_mesh(100, ZONES, settings=settings)
+        figures = membership.Settings(rumour_rate=500.0, rumour_burst=2_000.0)
+        mesh = rounds.build_mesh(100, ZONES, settings=figures)
         for daemon in list(mesh.values())[:50]:
             daemon.announce("catalog", 7, False, 0.0)
         sizes = [
             rounds.run_round(mesh, float(now)).member_bytes / len(mesh)
             for now in range(1, 31)
         ]
-        self.assertLess(sum(sizes), 2_000 + 30 * 500 + settings.message_bytes)
+        self.assertLess(sum(sizes), 2_000 + 30 * 500 + figures.message_bytes)
 
 
 class FailureTest(unittest.TestCase):
@@ -170,10 +175,14 @@
         """A daemon stands still for minutes and resumes unaware.
 
         The others have taken it out. It must get work again, and must not take
-        out those whose answers it has missed.
+        out those whose answers it has missed, nor those that it held suspect
+        and that could not contradict meanwhile.
         """
         mesh = rounds.build_mesh(12, ZONES)
         paused, resumed = list(mesh.items())[3]
+        rounds.run_round(mesh, 0.0)
+        for other in list(mesh)[8:]:
+            resumed.deny(other, 0.0)
         del mesh[paused]
         now = run_until(mesh, 0.0, lambda: count_states(mesh, paused) == {State.GONE})
         for other in list(mesh)[:6]:
@@ -251,8 +260,8 @@
         Each side forgets the other, at slightly different moments, and must
         not bring it back from hearsay; after the cut they find each other.
         """
-        settings = membership.Settings(region_time=120.0)
-        mesh = rounds.build_mesh(12, zones=2, regions=2, settings=settings)
+        figures = membership.Settings(region_time=120.0)
+        mesh = rounds.build_mesh(12, zones=2, regions=2, settings=figures)
         reaches = cut_between(lambda endpoint: endpoint.region)
         now = run_until(
             mesh, 0.0, lambda: {len(m) for m in mesh.values()} == {12}, reaches
@@ -280,6 +289,69 @@
         run_until(mesh, now, lambda: {len(m) for m in mesh.values()} == {18})
 
 
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "pause", "resume", "cut", "heal", "announce"]),
+        st.integers(0, 11),
+        st.integers(1, 40),
+    ),
+    max_size=8,
+)
+
+
+class ScheduleTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(FAULTS)
+    def test_any_faults_end_with_all_knowing_who_is_there(self, faults):
+        """Daemons die, stand still and are cut off in any order.
+
+        When it is over, a daemon that others don't know gets no work although
+        it serves, and one that is dead gets calls that fail.
+        """
+        mesh = rounds.build_mesh(12, ZONES)
+        names = list(mesh)
+        paused, cut, dead, now = {}, set(), set(), 0.0
+        for fault, place, intervals in faults:
+            name = names[place]
+            if fault == "kill" and len(dead) < 6:
+                mesh.pop(name, None)
+                paused.pop(name, None)
+                dead.add(name)
+            elif fault == "pause" and name in mesh:
+                paused[name] = mesh.pop(name)
+            elif fault == "resume":
+                mesh.update(paused)
+                paused.clear()
+            elif fault == "cut":
+                cut.add(f"zone-{place % ZONES}")
+            elif fault == "heal":
+                cut.clear()
+            elif fault == "announce" and name in mesh:
+                mesh[name].announce("archive", intervals, False, now)
+            for _ in range(intervals):
+                now += 1.0
+                rounds.run_round(
+                    mesh, now, cut_between(lambda e: e.zone if e.zone in cut else "")
+                )
+        mesh.update(paused)
+        run_until(mesh, now, lambda: is_settled(mesh, dead), intervals=400)
+
+
+def is_settled(mesh, dead):
+    """Tell whether all know the living as they are, and nobody knows others."""
+    for member in mesh.values():
+        for daemon, other in mesh.items():
+            if member.get(daemon) != other.own:
+                return False
+        if any(m.endpoint.daemon in dead for m in find_present(member)):
+            return False
+    return True
+
+
+def find_present(members):
+    return [m for m in members.members() if m.state is not State.GONE]
+
+
 class JoinTest(unittest.TestCase):
     def build_newcomer(self, number=1000):
         return membership.Membership(
@@ -329,14 +401,14 @@
         A peer that served them all would spend its processor time on it.
         """
         peer = next(iter(rounds.build_mesh(150, ZONES).values()))
-        settings = peer.settings
+        figures = peer.settings
         given = 0
         for number in range(400):
             page = peer.give_page(0, number / 100)
             given += sum(map(membership.estimate_bytes, page.members))
             if not page.members:
                 self.assertEqual(page.next_bucket, 0)
-        largest = settings.page_burst + 4 * settings.page_rate + 20_000
+        largest = figures.page_burst + 4 * figures.page_rate + 20_000
         self.assertLess(given, largest)
 
     def test_bad_news_of_a_stranger_are_ignored(self):
