--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -147,6 +147,28 @@
         yield Row("members sent and received meanwhile", size, sent, "B/s daemon")
 
 
+def measure_cut():
+    """Measure how soon the others notice that one region of four is cut off."""
+    for count in (100, 400, 1_000):
+        mesh = build_mesh(count)
+        others = [
+            members
+            for members in mesh.values()
+            if members.own.endpoint.region != "region-0"
+        ]
+        for now in range(1, 121):
+            rounds.run_round(mesh, float(now), is_same_side)
+            if now in (10, 30, 60, 120):
+                found = sum("region-0" in m.find_cut_regions() for m in others)
+                what = f"daemons that leave it out after {now} s"
+                yield Row(what, f"{count:,} daemons", found / len(others) * 100, "%")
+
+
+def is_same_side(one, other):
+    """Tell whether no cut of region 0 lies between two endpoints."""
+    return (one.region == "region-0") == (other.region == "region-0")
+
+
 def measure_restart():
     """Measure a zone that restarts at once: its joins, the log, the peers."""
     for count in MEMBERS:
@@ -277,6 +299,7 @@
     "members": measure_members,
     "gossip": measure_gossip,
     "rumours": measure_rumours,
+    "cut": measure_cut,
     "restart": measure_restart,
     "log": measure_log,
     "wire": measure_wires,
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -254,6 +254,25 @@
             lambda: all(len(m.find_endpoints("catalog")) == 40 for m in mesh.values()),
         )
 
+    def test_one_region_of_four_is_soon_known_to_be_cut_off(self):
+        """One of four regions is cut off.
+
+        A daemon whose only far partner is in another region must not go on
+        placing calls in the lost one for minutes.
+        """
+        mesh = rounds.build_mesh(48, zones=8, regions=4)
+        run_until(
+            mesh,
+            0.0,
+            lambda: all(
+                "region-0" in m.find_cut_regions()
+                for m in mesh.values()
+                if m.own.endpoint.region != "region-0"
+            ),
+            cut_between(lambda endpoint: endpoint.region == "region-0"),
+            intervals=100,
+        )
+
     def test_region_is_forgotten_after_long_and_found_again(self):
         """A region is cut off for longer than it is remembered.
 
--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -190,6 +190,7 @@
         self._partners = {}
         self._probe_order = []
         self._next_rotation = -math.inf
+        self._far_turn = False
         self._doubts = {}
         self._misses = {}
         self._suspects = {}
@@ -705,9 +706,25 @@
             jitter = self._random.uniform(0.5, 1.5)
             self._next_rotation = now + jitter * self.settings.rotation
             if self._partners and wanted < len(self._table) - 1:
-                del self._partners[self._random.choice(list(self._partners))]
+                del self._partners[self._choose_leaver()]
         self._fill_places()
 
+    def _choose_leaver(self):
+        """Choose the partner to exchange, every other time one far away.
+
+        With one partner in another region, exchanged as seldom as the others,
+        a daemon would take minutes to notice that a region is cut off.
+        """
+        self._far_turn = not self._far_turn
+        far = [
+            daemon
+            for daemon in self._partners
+            if self._find_distance(self._table.get(daemon).endpoint) == 2
+        ]
+        return self._random.choice(
+            far if far and self._far_turn else list(self._partners)
+        )
+
     def _count_places(self):
         settings = self.settings
         return settings.near_partners + settings.region_partners + settings.far_partners
@@ -739,6 +756,8 @@
             and member is not self._own
         ]
         self._random.shuffle(possible)
+        # The region that was heard of longest ago comes first.
+        possible.sort(key=lambda e: self._regions_heard.get(e.region, -math.inf))
         spare = []
         for endpoint in possible:
             distance = self._find_distance(endpoint)
@@ -747,6 +766,7 @@
                 self._partners[endpoint.daemon] = None
             else:
                 spare.append(endpoint)
+        spare.sort(key=self._find_distance)
         return spare
 
     def _count_free(self):
