Give a budget only to the daemon that it is meant for; settle late verdicts

From the models (test/models): a doubled request that reaches a daemon restarted in between breaks the bound on retries, so a request names its receiver. A verdict that comes while its wait is being cancelled is used, or a won key would stay taken. Claims know the log's retention, so that a new daemon of a service with an old stream needn't refuse keys for a gap that no key can reach. The test of a vanished backend server passed without the lease (mutation); it now waits until the daemon has forgotten the backend server.

--- a/test/daemons/test_client.py
+++ b/test/daemons/test_client.py
@@ -32,11 +32,13 @@
         self.answer = lambda request: Answer(request.attempt, Outcome.COMPLETED)
         (port,) = processes.find_ports(1)
         self.address = f"{mesh.HOST}:{port}"
+        self.endpoint = messages.Endpoint("d1", self.address)
         self.client = client.PeerClient(lambda: self.now, "token-of-the-mesh")
         self.addCleanup(self.client.close)
 
     def serve(self, tokens="token-of-the-mesh"):
         servicer = server.PeerServicer(
+            "d1",
             lambda request: self.answer(request),
             lambda message: peer_pb2.GossipAnswer(sender="d1"),
             lambda: self.now,
@@ -48,16 +50,35 @@
 
     def test_an_answer(self):
         self.serve()
-        answer = self.client.call(self.address, build_request())
+        answer = self.client.call(self.endpoint, build_request())
         self.assertEqual(Outcome.COMPLETED, answer.outcome)
 
+    def test_a_budget_meant_for_the_predecessor_is_not_used(self):
+        """A daemon restarts between two copies of one message.
+
+        The first may have used its retries. With them again, the whole request
+        would cause more than its bound.
+        """
+        budgets = []
+
+        def note(request):
+            budgets.append(request.budget)
+            return Answer(request.attempt, Outcome.COMPLETED)
+
+        self.answer = note
+        self.serve()
+        former = self.endpoint._replace(daemon="d0")
+        for endpoint in (self.endpoint, former):
+            self.client.call(endpoint, build_request())
+        self.assertEqual([3, 0], budgets)
+
     def test_nobody_there_is_a_fact(self):
         """A daemon is gone, and its peers don't know yet.
 
         Nothing was sent, so the caller may be told "not run", and the whole
         budget is left to try elsewhere.
         """
-        answer = self.client.call(self.address, build_request())
+        answer = self.client.call(self.endpoint, build_request())
         self.assertEqual(Outcome.NOT_RUN, answer.outcome)
         self.assertEqual(Reason.NOT_SENT, answer.reason)
         self.assertEqual(3, answer.unused)
@@ -77,7 +98,7 @@
         answers = []
         caller = threading.Thread(
             target=lambda: answers.append(
-                self.client.call(self.address, build_request())
+                self.client.call(self.endpoint, build_request())
             )
         )
         caller.start()
@@ -88,14 +109,14 @@
         stopping.wait()
         self.assertEqual(Outcome.UNKNOWN, answers[0].outcome)
         self.assertEqual(0, answers[0].unused)
-        again = self.client.call(self.address, build_request())
+        again = self.client.call(self.endpoint, build_request())
         self.assertEqual(Outcome.NOT_RUN, again.outcome)
 
     def test_the_answer_to_another_attempt_is_not_handed_on(self):
         """A fault mixes up two answers; a caller would read another's data."""
         self.answer = lambda request: Answer("a2", Outcome.COMPLETED, body=b"x")
         self.serve()
-        answer = self.client.call(self.address, build_request())
+        answer = self.client.call(self.endpoint, build_request())
         self.assertEqual(Outcome.UNKNOWN, answer.outcome)
         self.assertEqual(b"", answer.body)
 
@@ -103,19 +124,19 @@
         ran = []
         self.answer = ran.append
         self.serve(tokens="another-mesh-altogether")
-        answer = self.client.call(self.address, build_request())
+        answer = self.client.call(self.endpoint, build_request())
         self.assertNotEqual(Outcome.COMPLETED, answer.outcome)
         self.assertFalse(ran)
 
     def test_channels_that_nobody_uses_are_closed(self):
         """Gossip changes its partners for weeks, and instances are replaced."""
         self.serve()
-        self.client.call(self.address, build_request())
+        self.client.call(self.endpoint, build_request())
         self.client.close_idle(self.now + client.IDLE_SECONDS)
         self.assertEqual(1, len(self.client))
         self.client.close_idle(self.now + client.IDLE_SECONDS + 1.0)
         self.assertEqual(0, len(self.client))
-        answer = self.client.call(self.address, build_request())
+        answer = self.client.call(self.endpoint, build_request())
         self.assertEqual(Outcome.COMPLETED, answer.outcome)
 
 
--- a/test/failures/meshes.py
+++ b/test/failures/meshes.py
@@ -121,6 +121,16 @@
         )
         return answer.json()
 
+    def read_backend(self, node):
+        """Return the backend server that a daemon knows beside it, or None."""
+        token = self.mesh.env["WHINWINCH_OPERATOR_TOKEN"]
+        answer = self.http.request(
+            "GET",
+            f"{node.entry_url}/admin/v1/status",
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        return answer.json()["backend"]
+
     def call(self, node, path, method="GET", **headers):
         """Call a service through a daemon and return a `Reply`."""
         names = {name.replace("_", "-"): value for name, value in headers.items()}
--- a/test/failures/test_stops.py
+++ b/test/failures/test_stops.py
@@ -134,6 +134,7 @@
             return self.call(gone, "royalties/x").outcome == "completed"
 
         self.wait_until("reads are whole at the entry beside it", is_whole)
+        self.wait_until("it is forgotten", lambda: self.read_backend(gone) is None)
         for _ in range(20):
             self.assertEqual("completed", self.call(left, "royalties/x").outcome)
 
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -53,8 +53,8 @@
         self.script = list(script)
         self.sent = []
 
-    def call(self, address, request):
-        self.sent.append((address, request))
+    def call(self, endpoint, request):
+        self.sent.append((endpoint.address, request))
         answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         return answer(request)
 
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -246,8 +246,6 @@
         """Add what the calls below have met and return the unused budget."""
         with self._ledger as ledger:
             unused = ledger.close(request.attempt)
-        if answer.outcome is Outcome.NOT_RUN:
-            unused = request.budget
         answer = answer._replace(unused=unused, load=messages.Load(below=below.level))
         if answer.status < 500 or not below.refused:
             return answer
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -96,13 +96,7 @@
     def claim(self, request):
         """Return the log's verdict on a claim; blocks; for request threads."""
         future = asyncio.run_coroutine_threadsafe(self._claim(request), self._loop)
-        try:
-            verdict = future.result(CLAIM_TIMEOUT)
-        except TimeoutError:
-            future.cancel()
-            verdict = claims.ClaimVerdict(
-                claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
-            )
+        verdict = _await_verdict(future)
         self._count_claim(verdict.verdict.value)
         return verdict
 
@@ -199,7 +193,10 @@
                 service,
                 self._own,
                 LogUnavailable,
-                state=claims.Claims(window=self._settings.key_window),
+                state=claims.Claims(
+                    window=self._settings.key_window,
+                    retention=self._settings.log_retention,
+                ),
                 note=self._notes.claims,
             )
             self._claimers[service] = found
@@ -216,3 +213,17 @@
                 logging.warning("claims not flushed: the log does not answer")
         for task in self._claimer_tasks:
             task.cancel()
+
+
+def _await_verdict(future):
+    """Return the verdict of a claim, or LOG_DOWN when the loop gives none."""
+    try:
+        return future.result(CLAIM_TIMEOUT)
+    except TimeoutError:
+        # Cancelling fails when the verdict has just come. Left unread, a claim
+        # that won would keep its key although nobody runs the work.
+        if not future.cancel():
+            return future.result()
+        return claims.ClaimVerdict(
+            claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
+        )
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -267,7 +267,7 @@
         return future.result(GOSSIP_TIMEOUT)
 
     servicer = peer_server.PeerServicer(
-        serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
+        parts.own, serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
     )
     return peer_server.start_server(servicer, parts.settings.peer_address)
 
--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -93,22 +93,27 @@
         self._peers = {}
         self._lock = threading.Lock()
 
-    def call(self, address, request):
-        """Send one attempt and return its answer; never raises for the network."""
-        with self._use_peer(address) as peer:
-            return self._call_peer(peer, request)
+    def call(self, endpoint, request):
+        """Send one attempt and return its answer; never raises for the network.
+
+        Args:
+            endpoint: `messages.Endpoint` to send it to.
+            request: The attempt.
+        """
+        with self._use_peer(endpoint.address) as peer:
+            return self._call_peer(peer, request, endpoint.daemon)
 
-    def _call_peer(self, peer, request):
+    def _call_peer(self, peer, request, receiver):
         left = request.deadline - self._clock()
         if left <= 0:
             return _build_failure(request, Outcome.NOT_RUN, Reason.DEADLINE)
         if not peer.wait_ready(min(left, CONNECT_TIMEOUT)):
             return _build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
-        return self._send(peer, request)
+        return self._send(peer, request, receiver)
 
-    def _send(self, peer, request):
+    def _send(self, peer, request, receiver):
         now = self._clock()
-        message = codec.encode_request(request, now)
+        message = codec.encode_request(request, now, receiver)
         timeout = max(0.001, request.deadline - now)
         try:
             reply = peer.stub.Call(message, timeout=timeout, metadata=self._metadata)
--- a/whinwinch/daemons/codec.py
+++ b/whinwinch/daemons/codec.py
@@ -4,8 +4,14 @@
 from . import peer_pb2
 
 
-def encode_request(request, now):
-    """Return the `CallRequest` for a request at the loop time `now`."""
+def encode_request(request, now, receiver=""):
+    """Return the `CallRequest` for a request at the loop time `now`.
+
+    Args:
+        request: The request.
+        now: The loop's time in seconds.
+        receiver: Identifier of the daemon that it is meant for.
+    """
     return peer_pb2.CallRequest(
         attempt=request.attempt,
         root=request.root,
@@ -21,12 +27,20 @@
         via=request.via,
         headers=_encode_headers(request.headers),
         body=request.body,
+        receiver=receiver,
     )
 
 
-def decode_request(message, now):
+def decode_request(message, now, own=""):
     """Return the request of a `CallRequest` received at the loop time `now`.
 
+    Args:
+        message: The `CallRequest`.
+        now: The loop's time in seconds.
+        own: Identifier of this daemon. A copy that was meant for its
+            predecessor brings no retries: the predecessor may have used them,
+            and the whole request would cause more than its bound.
+
     Raises:
         ValueError: When the importance isn't one.
     """
@@ -40,7 +54,7 @@
         importance=Importance(message.importance),
         deadline=now + message.time_left,
         key=message.key,
-        budget=message.budget,
+        budget=message.budget if message.receiver in ("", own) else 0,
         caller=message.caller,
         via=tuple(message.via),
         headers=_decode_headers(message.headers),
--- a/whinwinch/daemons/server.py
+++ b/whinwinch/daemons/server.py
@@ -24,13 +24,15 @@
     """Hands calls to the gatekeeper and gossip to the membership task.
 
     Args:
+        own: Identifier of this daemon.
         serve: Takes a `Request`, returns its `Answer`.
         answer_gossip: Takes a `GossipMessage`, returns a `GossipAnswer`.
         clock: Returns the loop's time in seconds.
         tokens: The setting with the tokens that are taken; "" takes everyone.
     """
 
-    def __init__(self, serve, answer_gossip, clock, tokens):
+    def __init__(self, own, serve, answer_gossip, clock, tokens):
+        self._own = own
         self._serve = serve
         self._answer_gossip = answer_gossip
         self._clock = clock
@@ -40,7 +42,7 @@
         """Serve one attempt."""
         self._check_token(context)
         try:
-            decoded = codec.decode_request(request, self._clock())
+            decoded = codec.decode_request(request, self._clock(), self._own)
         except ValueError:
             return _refuse_undecodable(request)
         return codec.encode_answer(self._serve(decoded))
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -66,7 +66,7 @@
         find_endpoints: Takes a service, returns its endpoints.
         has_room: Returns whether the own backend server has a free slot.
         serve: Serves an attempt at the own backend server.
-        call: Sends an attempt to another daemon's address.
+        call: Sends an attempt to another daemon's endpoint.
     """
 
     own: str
@@ -292,7 +292,7 @@
     def _serve_or_call(self, attempt, endpoint):
         if endpoint.daemon == self._places.own:
             return self._places.serve(attempt)
-        return self._places.call(endpoint.address, attempt)
+        return self._places.call(endpoint, attempt)
 
     def _tries_again(self, attempt, answer, holder, tries, choice):
         """Settle the budget of an attempt; return whether to try again."""
