Keep the results of the demo's phases apart

Since a process that is started again adds to its output file instead of replacing it.

Callers now have a name of their own in each phase, a directory's output from an earlier run is dropped, and the demo ends with 2 when there isn't one result for each request.

--- a/demo/run.py
+++ b/demo/run.py
@@ -46,12 +46,14 @@
     """One playing of the trace.
 
     Attributes:
+        name: Name in the callers' output files, different for each phase.
         title: Title of its table.
         rate: Multiple of the recorded rate.
         seconds: How long it is played.
         overloaded: Name of the service that gets too much, "" for none.
     """
 
+    name: str
     title: str
     rate: float
     seconds: float
@@ -124,9 +126,14 @@
     ordinary = "an ordinary day, as recorded"
     overload = f"{OVERLOADED} asked for {OVERLOAD:.0f} times what it can carry"
     return [
-        *play_phase(running, nodes, seed, Phase(ordinary, 1.0, ORDINARY_SECONDS)),
         *play_phase(
-            running, nodes, seed, Phase(overload, rate, OVERLOAD_SECONDS, OVERLOADED)
+            running, nodes, seed, Phase("ordinary", ordinary, 1.0, ORDINARY_SECONDS)
+        ),
+        *play_phase(
+            running,
+            nodes,
+            seed,
+            Phase("overload", overload, rate, OVERLOAD_SECONDS, OVERLOADED),
         ),
     ]
 
@@ -174,18 +181,38 @@
     flags = [part for pair in arguments.items() for part in pair]
     callers = [
         running.start(
-            f"caller-{part}",
+            f"caller-{phase.name}-{part}",
             "standins.caller",
             [*flags, "--part", f"{part}/{CALLERS}"],
         )
         for part in range(CALLERS)
     ]
     running.finish(callers, PHASE_TIMEOUT)
-    return [
+    results = [
         caller.read_result(line)
         for process in callers
         for line in (running.directory / f"{process.name}.log").open()
     ]
+    check_count(results, phase)
+    return results
+
+
+def check_count(results, phase):
+    """Check that there is one result for each request of a phase.
+
+    Results of another phase among them, or lost ones, would make every share
+    and rate of the table wrong without a sign of it.
+
+    Raises:
+        processes.NotReady: When there are more or fewer.
+    """
+    requests = trace.read_trace(TRACE.read_text().splitlines())
+    played = trace.schedule_requests(requests, phase.rate, phase.seconds)
+    expected = sum(1 for _ in played)
+    if len(results) != expected:
+        raise processes.NotReady(
+            f"{phase.name}: {len(results)} results of {expected} requests"
+        )
 
 
 def measure_chain(nodes):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -44,6 +44,7 @@
         self.directory = pathlib.Path(directory)
         self.killed = []
         self._running = []
+        self._started = set()
 
     def __enter__(self):
         return self
@@ -64,7 +65,11 @@
         It gets a session of its own: Ctrl-C reaches only this process, which
         then stops the others in their order.
         """
-        output = (self.directory / f"{name}.log").open("ab")
+        # Started again under its name it adds to its own output. What an
+        # earlier run left in the directory would be taken for this one's.
+        mode = "ab" if name in self._started else "wb"
+        self._started.add(name)
+        output = (self.directory / f"{name}.log").open(mode)
         with output:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *map(str, arguments)],
--- a/test/standins/test_demo.py
+++ b/test/standins/test_demo.py
@@ -3,7 +3,7 @@
 import unittest
 
 from demo import draw, mesh, report, run
-from standins import caller, sender, trace
+from standins import caller, processes, sender, trace
 
 BUDGETS = {"royalties": 1}
 
@@ -84,6 +84,17 @@
         drawn = "".join(trace.write_trace(draw.draw_trace()))
         self.assertEqual(run.TRACE.read_text(), drawn)
 
+    def test_results_of_another_phase(self):
+        """Results of the phase before are read as this one's.
+
+        The table then shows more whole requests than the service can carry.
+        """
+        phase = run.Phase("ordinary", "", 1.0, 12.0)
+        count = len(run.TRACE.read_text().splitlines())
+        run.check_count([None] * count, phase)
+        with self.assertRaisesRegex(processes.NotReady, f"{count + 1} results"):
+            run.check_count([None] * (count + 1), phase)
+
     def test_overload_is_three_times_the_capacity(self):
         requests = trace.read_trace(run.TRACE.read_text().splitlines())
         wanted = [each for each in requests if "submissions" in str(each)]
