--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -27,7 +27,8 @@
 DECAY_SECONDS = 0.5
 # As many answers as a handful of endpoints give in a few rounds.
 SAMPLES = 8
-MOST_TRACKS = 4096
+# Some 1.2 KB each: unbounded, callers that make up paths would fill the memory.
+MOST_TRACKS = 2048
 # Long enough to hear of flows that give one answer in a hundred.
 LOWEST_SECONDS = 1.0
 # More than chance makes the levels at two hops differ.
