--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -239,7 +239,7 @@
         attempt = self.mesh.next_attempt()
         granted = self.ledger.grant(holder, attempt)
         sent = request._replace(attempt=attempt, budget=granted)
-        self.placement.start(daemon, now)
+        self.placement.start(daemon, now, sent)
 
         def take(answer):
             self._observe(daemon, sent, answer, now)
@@ -255,7 +255,7 @@
 
     def _observe(self, daemon, sent, answer, began):
         now = self.mesh.loop.now
-        self.placement.observe(daemon, answer, now - began, now)
+        self.placement.observe(daemon, answer, now - began, now, sent)
         self.levels.learn(sent.service, sent.call, answer.load, now, sent)
 
     def _decide_retry(self, sent, answer, holder, tries):
--- a/demo/run.py
+++ b/demo/run.py
@@ -13,17 +13,21 @@
 import signal
 import sys
 import time
+from typing import NamedTuple
 
-from standins import caller, processes, trace
+from standins import caller, processes, sender, trace
 
 from . import mesh, report
 
 TRACE = pathlib.Path(__file__).with_name("press.jsonl")
+OVERLOADED = "submissions"
 OVERLOAD = 3.0
-PHASE_SECONDS = 12.0
+# The first plays the whole trace. Both leave a margin under a minute in all.
+ORDINARY_SECONDS = 12.0
+OVERLOAD_SECONDS = 10.0
 CALLERS = 3
 CALLER_THREADS = 160
-PHASE_TIMEOUT = PHASE_SECONDS + 20.0
+PHASE_TIMEOUT = ORDINARY_SECONDS + 20.0
 CHAINS = 150
 WARM_UP = 15
 CHAIN = trace.Request(
@@ -38,6 +42,22 @@
 BROKEN, FAILED = 1, 2
 
 
+class Phase(NamedTuple):
+    """One playing of the trace.
+
+    Attributes:
+        title: Title of its table.
+        rate: Multiple of the recorded rate.
+        seconds: How long it is played.
+        overloaded: Name of the service that gets too much, "" for none.
+    """
+
+    title: str
+    rate: float
+    seconds: float
+    overloaded: str = ""
+
+
 class Interrupted(Exception):
     """SIGINT or SIGTERM came."""
 
@@ -74,18 +94,24 @@
     began = time.monotonic()
     nodes = mesh.place_nodes()
     press = mesh.start_mesh(running, nodes)
-    mesh.wait_until_ready(running, press)
-    mesh.apply_resources(running, press)
-    mesh.wait_until_reached(running, press)
-    mesh.wait_until_in_force(running, press)
-    say(f"{len(nodes)} endpoints ready after {time.monotonic() - began:.1f} s")
+    steps = (
+        ("daemons ready", mesh.wait_until_ready),
+        ("resources applied", mesh.apply_resources),
+        ("all endpoints reached", mesh.wait_until_reached),
+        ("resources in force", mesh.wait_until_in_force),
+    )
+    for name, step in steps:
+        step(running, press)
+        say(f"{name} after {time.monotonic() - began:.1f} s")
     say("", "the same chain of three services, one at a time, no service time:")
     say(*report.form_latency(*measure_chain(nodes)))
     promises = play_phases(running, nodes, seed)
+    stopping = time.monotonic()
     killed = mesh.stop_mesh(running, press)
+    say("", f"everything stopped within {time.monotonic() - stopping:.1f} s")
     if killed:
-        say("", f"didn't stop by themselves: {', '.join(killed)}")
-    say("", f"took {time.monotonic() - began:.1f} s")
+        say(f"didn't stop by themselves: {', '.join(killed)}")
+    say(f"took {time.monotonic() - began:.1f} s")
     if any(promise.broken for promise in promises):
         return BROKEN
     return FAILED if killed else 0
@@ -96,44 +122,52 @@
     requests = trace.read_trace(TRACE.read_text().splitlines())
     rate = find_overload(requests)
     ordinary = "an ordinary day, as recorded"
-    overload = f"submissions asked for {OVERLOAD:.0f} times what it can carry"
+    overload = f"{OVERLOADED} asked for {OVERLOAD:.0f} times what it can carry"
     return [
-        *play_phase(running, nodes, seed, ordinary, 1.0),
-        *play_phase(running, nodes, seed, overload, rate),
+        *play_phase(running, nodes, seed, Phase(ordinary, 1.0, ORDINARY_SECONDS)),
+        *play_phase(
+            running, nodes, seed, Phase(overload, rate, OVERLOAD_SECONDS, OVERLOADED)
+        ),
     ]
 
 
 def find_overload(requests):
-    """Return the multiple of the trace that is `OVERLOAD` for submissions."""
-    wanted = sum(
-        request.service == "submissions" or "submissions" in request.next
-        for request in requests
-    )
+    """Return the multiple of the trace that is `OVERLOAD` for the service."""
+    wanted = sum(report.needs_service(request, OVERLOADED) for request in requests)
     recorded = wanted / trace.find_length(requests)
+    return OVERLOAD * find_capacity() / recorded
+
+
+def find_capacity():
+    """Return the requests a second that the overloaded service can carry."""
     (capacity,) = (
-        service.capacity for service in mesh.SERVICES if service.name == "submissions"
+        service.capacity for service in mesh.SERVICES if service.name == OVERLOADED
     )
-    return OVERLOAD * capacity / recorded
+    return capacity
 
 
-def play_phase(running, nodes, seed, title, rate):
-    """Play the trace at a rate by several callers; print and return the promises."""
-    results = play_trace(running, nodes, seed, rate)
+def play_phase(running, nodes, seed, phase):
+    """Play one phase by several callers; print and return the promises."""
+    results = play_trace(running, nodes, seed, phase)
     by_key, by_request = mesh.read_runs(nodes)
     budgets = report.read_budgets(mesh.RESOURCES)
     promises = report.check_promises(results, by_key, by_request, budgets)
-    say("", *report.form_table(f"{title} (x{rate:.2f})", results, PHASE_SECONDS))
+    if phase.overloaded:
+        promises.append(report.check_order(results, phase.overloaded))
+    title = f"{phase.title} (x{phase.rate:.2f})"
+    say("", *report.form_table(title, results, phase.seconds))
+    say(report.form_goodput(results, OVERLOADED, find_capacity(), phase.seconds))
     say(*report.form_notes(results), *report.form_promises(promises))
     return promises
 
 
-def play_trace(running, nodes, seed, rate):
+def play_trace(running, nodes, seed, phase):
     """Play the trace by several caller processes and return all results."""
     arguments = {
         "--trace": TRACE,
         "--entries": ",".join(node.entry_url for node in nodes),
-        "--rate": rate,
-        "--seconds": PHASE_SECONDS,
+        "--rate": phase.rate,
+        "--seconds": phase.seconds,
         "--threads": CALLER_THREADS,
         "--seed": seed,
     }
@@ -162,7 +196,7 @@
     catalogs = [node for node in nodes if node.service.name == "catalog"]
     backends = [node.backend_url for node in catalogs]
     entries = [node.entry_url for node in catalogs]
-    ways = (caller.build_sender(backends, direct=True), caller.build_sender(entries))
+    ways = (sender.build_sender(backends, direct=True), sender.build_sender(entries))
     seconds = ([], [])
     for turn in range(WARM_UP + CHAINS):
         for send, taken in zip(ways, seconds, strict=True):
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -31,9 +31,22 @@
         log: `logservice.client.LogClient`.
         flights: `flight.FlightCounter`.
         tick: Called at every tick with the loop's time.
+        count_claim: Called with the verdict on each claim, as text.
+        notes: `recording.Notes` for a trace.
     """
 
-    def __init__(self, loop, settings, own, membership, log, flights, tick):
+    def __init__(
+        self,
+        loop,
+        settings,
+        own,
+        membership,
+        log,
+        flights,
+        tick,
+        count_claim,
+        notes,
+    ):
         self._loop = loop
         self._settings = settings
         self._own = own
@@ -41,6 +54,8 @@
         self._log = log
         self._flights = flights
         self._tick = tick
+        self._count_claim = count_claim
+        self._notes = notes
         self._registry = Registry(settings.lease)
         self._lifecycle = lifecycle.Lifecycle()
         self._claimers = {}
@@ -81,13 +96,9 @@
     def claim(self, request):
         """Return the log's verdict on a claim; blocks; for request threads."""
         future = asyncio.run_coroutine_threadsafe(self._claim(request), self._loop)
-        try:
-            return future.result(CLAIM_TIMEOUT)
-        except TimeoutError:
-            future.cancel()
-            return claims.ClaimVerdict(
-                claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
-            )
+        verdict = _await_verdict(future)
+        self._count_claim(verdict.verdict.value)
+        return verdict
 
     def note_end(self, request, answer):
         """Note in the log how claimed work ended; for request threads."""
@@ -105,6 +116,7 @@
             self._flights.last_deadline,
         )
         logging.info("lifecycle phase=leaving until=%.3f", self._lifecycle.until)
+        self._notes.phase(self.phase)
         self._publish_membership(now)
 
     async def run(self):
@@ -123,6 +135,7 @@
         self._lifecycle = lifecycle.advance(self._lifecycle, now, self._flights.read())
         if self.phase is not before:
             logging.info("lifecycle phase=stopped ground=%r", self._lifecycle.ground)
+            self._notes.phase(self.phase)
 
     def _announce(self, announcement):
         if not self._registry.announce(announcement, self._loop.time()):
@@ -180,7 +193,11 @@
                 service,
                 self._own,
                 LogUnavailable,
-                state=claims.Claims(window=self._settings.key_window),
+                state=claims.Claims(
+                    window=self._settings.key_window,
+                    retention=self._settings.log_retention,
+                ),
+                note=self._notes.claims,
             )
             self._claimers[service] = found
             self._claimer_tasks.add(self._loop.create_task(found.run()))
@@ -196,3 +213,17 @@
                 logging.warning("claims not flushed: the log does not answer")
         for task in self._claimer_tasks:
             task.cancel()
+
+
+def _await_verdict(future):
+    """Return the verdict of a claim, or LOG_DOWN when the loop gives none."""
+    try:
+        return future.result(CLAIM_TIMEOUT)
+    except TimeoutError:
+        # Cancelling fails when the verdict has just come. Left unread, a claim
+        # that won would keep its key although nobody runs the work.
+        if not future.cancel():
+            return future.result()
+        return claims.ClaimVerdict(
+            claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
+        )
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -6,6 +6,8 @@
 import math
 import random
 import signal
+import sys
+import time
 from typing import NamedTuple
 
 import grpc
@@ -23,10 +25,12 @@
     messages,
     metrics,
     placement,
+    recording,
     resources,
     retries,
     router,
     running,
+    traces,
 )
 from .backends import app as backend_app
 from .backends.gatekeeper import Gatekeeper
@@ -37,7 +41,7 @@
 from .daemons import server as peer_server
 from .guarded import Guarded
 from .lifecycle import Phase, Way
-from .logservice import follower, joining, readers, relay, streams
+from .logservice import follower, joining, readers, relay, snapshots, streams
 from .logservice.client import LogClient, LogUnavailable
 from .messages import Answer, Outcome, Reason
 from .operators import access, api
@@ -70,6 +74,7 @@
     levels: Guarded
     peers: peer_client.PeerClient
     control: control.Control
+    notes: recording.Notes
 
 
 def run(settings):
@@ -134,9 +139,16 @@
     flights = flight.FlightCounter()
     ledger = Guarded(retries.Ledger())
 
-    config = build_relay(store)
+    notes = build_notes(settings, own)
+    config = build_relay(store, notes)
+    counts = metrics.Metrics()
+
+    peers = peer_client.PeerClient(
+        loop.time, access.choose_peer_token(settings.peer_token)
+    )
 
     def tick(now):
+        peers.close_idle(now)
         with ledger as state:
             state.expire(now)
         if not store.ready and config.find_age(now) < math.inf:
@@ -151,22 +163,45 @@
         store=store,
         relay=config,
         flights=flights,
-        metrics=metrics.Metrics(),
+        metrics=counts,
         running=running.Running(),
         ledger=ledger,
         levels=Guarded(levels.Levels()),
-        peers=peer_client.PeerClient(
-            loop.time, access.choose_peer_token(settings.peer_token)
+        peers=peers,
+        control=control.Control(
+            loop,
+            settings,
+            own,
+            members,
+            log,
+            flights,
+            tick,
+            counts.count_claim,
+            notes,
         ),
-        control=control.Control(loop, settings, own, members, log, flights, tick),
+        notes=notes,
     )
 
 
-def build_relay(store):
+def build_notes(settings, own):
+    """Return the functions that write the trace, if there is to be one."""
+    if not settings.trace:
+        return recording.NOTHING
+    return recording.build_notes(own, traces.make_recorder(sys.stdout, time.time))
+
+
+def build_relay(store, notes):
     """Return the relay that hands configuration records on to peers."""
     kept = relay.RecordStore(find_covered)
 
     def apply_record(record):
+        before = store.version
+        taken = take_record(record)
+        if notes is not recording.NOTHING and store.version != before:
+            notes.configured(store.version, store.encode_resources())
+        return taken
+
+    def take_record(record):
         applied = store.apply_record(record.offset, record.time, record.data)
         if applied.ground is not configuration.Ground.GAP:
             kept.add(record)
@@ -198,6 +233,7 @@
         running=parts.running,
         takes_work=lambda: parts.control.admits(Way.INWARD),
         max_body=parts.settings.max_body,
+        notes=parts.notes,
     )
 
 
@@ -231,7 +267,7 @@
         return future.result(GOSSIP_TIMEOUT)
 
     servicer = peer_server.PeerServicer(
-        serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
+        parts.own, serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
     )
     return peer_server.start_server(servicer, parts.settings.peer_address)
 
@@ -292,6 +328,7 @@
         random=random.random,
         key_window=parts.settings.key_window,
         note=build_note(parts),
+        notes=parts.notes,
     )
 
 
@@ -300,10 +337,14 @@
 
     def note(incoming, routed, seconds):
         answer = routed.answer
-        parts.metrics.record_latency(incoming.service, routed.importance, seconds)
-        parts.metrics.count_outcome(incoming.service, answer.outcome, answer.reason)
-        for _ in range(routed.retries):
-            parts.metrics.count_retry(incoming.service)
+        parts.metrics.note_call(
+            incoming.service,
+            routed.importance,
+            answer.outcome,
+            answer.reason,
+            seconds,
+            routed.retries,
+        )
 
     return note
 
@@ -439,6 +480,7 @@
             store=parts.store,
             operators=operators,
             find_status=lambda: describe_status(parts, gatekeeper),
+            begin_drain=parts.control.drain_soon,
             render_metrics=parts.metrics.render_metrics,
             max_key_window=parts.settings.key_window,
         )
@@ -481,6 +523,7 @@
         for task in (
             gossip.run_gossip(talk),
             follow_configuration(parts, talk),
+            write_snapshots(parts),
             joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
         )
     ]
@@ -523,16 +566,30 @@
 async def follow_configuration(parts, talk):
     """Read the configuration from the log while it is this daemon's turn."""
     read, _ = build_stream(parts, streams.CONFIGURATION)
+    await follower.run_follower(
+        read, parts.relay, lambda now: is_reader(parts, now), talk.wake
+    )
 
-    def is_reader(now):
-        return readers.is_reader(
-            parts.members.members(),
-            parts.members.own,
-            streams.CONFIGURATION,
-            parts.relay.find_age(now),
-        )
 
-    await follower.run_follower(read, parts.relay, is_reader, talk.wake)
+async def write_snapshots(parts):
+    """Write snapshots of the configuration while this daemon reads the log."""
+    _, append = build_stream(parts, streams.CONFIGURATION)
+    await snapshots.run_snapshots(
+        lambda: parts.store.plan_snapshot(parts.settings.log_retention, time.time()),
+        parts.store.encode_snapshot,
+        append,
+        lambda: is_reader(parts, parts.loop.time()),
+    )
+
+
+def is_reader(parts, now):
+    """Return whether this daemon reads the configuration from the log."""
+    return readers.is_reader(
+        parts.members.members(),
+        parts.members.own,
+        streams.CONFIGURATION,
+        parts.relay.find_age(now),
+    )
 
 
 def stop_servers(parts, peers):
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import json
 import threading
 import time as clocks
 from types import MappingProxyType
@@ -250,6 +251,28 @@
         with self._news:
             return self._configuration.encode_snapshot()
 
+    def encode_resources(self):
+        """Return all accepted resources as bytes, the same at every daemon."""
+        view = self._view
+        found = [view.resources[key] for key in sorted(view.resources)]
+        return json.dumps([list(one) for one in found], sort_keys=True).encode()
+
+    def plan_snapshot(self, retention, wall):
+        """Return whether a snapshot is due, as a `configuration.SnapshotPlan`.
+
+        Args:
+            retention: Seconds for which the log keeps records.
+            wall: Wall-clock time in seconds, near enough to the log's.
+        """
+        with self._news:
+            return configuration.plan_snapshot(
+                self._configuration.offset,
+                self._configuration.snapshot_covers,
+                self._configuration.snapshot_time or wall,
+                wall,
+                retention,
+            )
+
     def propose(self, change, timeout):
         """Append a change to the log and wait until its fate has been read.
 
