Begin a new output for each caller process of the demo

Cause: outputs were opened to append since traces of replaced daemons are kept, so the overload phase counted the results of the phase before as well: it showed 152.8 whole requests/s of a service that can carry 100/s. Ruled out: the backend server's slots (26.8/s alone of 25, 10 in service at most) and its count (975 served). Only daemons' outputs are kept now.

--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -153,7 +153,8 @@
         "--log": f"http://{HOST}:{log_port}",
     }
     flags = [part for pair in arguments.items() for part in pair]
-    return running.start(f"daemon-{node.name}", "whinwinch", ["daemon", *flags], env)
+    name = f"daemon-{node.name}"
+    return running.start(name, "whinwinch", ["daemon", *flags], env, keep=True)
 
 
 def start_backend(running, node, nodes):
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -58,13 +58,14 @@
             for number, handler in zip(signals, previous, strict=True):
                 signal.signal(number, handler)
 
-    def start(self, name, module, arguments, env=None):
+    def start(self, name, module, arguments, env=None, keep=False):
         """Start ``python -m module`` and return its `Process`.
 
-        It gets a session of its own: Ctrl-C reaches only this process, which
+        With `keep` its output goes behind that of a former process of this
+        name, as the trace of a daemon that was replaced needs. It gets a session of its own: Ctrl-C reaches only this process, which
         then stops the others in their order.
         """
-        output = (self.directory / f"{name}.log").open("ab")
+        output = (self.directory / f"{name}.log").open("ab" if keep else "wb")
         with output:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *map(str, arguments)],
