--- a/test/test_levels.py
+++ b/test/test_levels.py
@@ -42,3 +42,29 @@
                 learnt.learn("catalog", "", messages.Load(level=level), now, caller)
         self.assertAlmostEqual(learnt.level("catalog", "", 0.2, hot), 1.9)
         self.assertEqual(learnt.level("catalog", "", 0.2, usual), 0.0)
+
+    def test_work_already_done_is_refused_only_when_clearly_below(self):
+        """A request let in at the entry passes many hops.
+
+        Each sees the level a little differently; refused by the highest of
+        them, the work of all hops before would be lost.
+        """
+        learnt = levels.Levels()
+        request = messages.Request(
+            "a", "a", "catalog", "", "GET", "/", messages.Importance.NORMAL, 9.0
+        )
+        level = messages.rank_request(request) + 0.1
+        learnt.learn_below(request, level, 0.0)
+        self.assertIsNotNone(learnt.refuse_below(request, 0.01))
+        passed = request._replace(via=("royalties",))
+        self.assertIsNone(learnt.refuse_below(passed, 0.01))
+
+    def test_tracks_are_bounded(self):
+        learnt = levels.Levels()
+        for index in range(5000):
+            request = messages.Request(
+                "a", "a", "s", "", "GET", f"/{index}", messages.Importance.LOW, 9.0
+            )
+            learnt.learn("s", "", messages.Load(level=0.5), 0.0, request)
+        self.assertLessEqual(len(learnt._tracks), levels.MOST_TRACKS)
+        self.assertGreater(learnt.level("s", "", 0.01), 0.0)
