--- a/standins/processes.py
+++ b/standins/processes.py
@@ -62,8 +62,9 @@
         """Start ``python -m module`` and return its `Process`.
 
         With `keep` its output goes behind that of a former process of this
-        name, as the trace of a daemon that was replaced needs. It gets a session of its own: Ctrl-C reaches only this process, which
-        then stops the others in their order.
+        name, as the trace of a daemon that was replaced needs. It gets a
+        session of its own: Ctrl-C reaches only this process, which then stops
+        the others in their order.
         """
         output = (self.directory / f"{name}.log").open("ab" if keep else "wb")
         with output:
