--- a/standins/processes.py
+++ b/standins/processes.py
@@ -59,15 +59,16 @@
             for number, handler in zip(signals, previous, strict=True):
                 signal.signal(number, handler)
 
-    def start(self, name, module, arguments, env=None):
+    def start(self, name, module, arguments, env=None, keep=False):
         """Start ``python -m module`` and return its `Process`.
 
-        It gets a session of its own: Ctrl-C reaches only this process, which
-        then stops the others in their order.
+        With `keep` its output goes behind that of a former process of this
+        name, as the trace of a daemon that was replaced needs. It gets a
+        session of its own: Ctrl-C reaches only this process, which then stops
+        the others in their order.
         """
-        # Started again under its name it adds to its own output. What an
-        # earlier run left in the directory would be taken for this one's.
-        mode = "ab" if name in self._started else "wb"
+        # What an earlier run left in the directory would be taken for this one's.
+        mode = "ab" if keep and name in self._started else "wb"
         self._started.add(name)
         output = (self.directory / f"{name}.log").open(mode)
         with output:
--- a/test/standins/test_processes.py
+++ b/test/standins/test_processes.py
@@ -15,17 +15,17 @@
         self.addCleanup(directory.cleanup)
         self.path = pathlib.Path(directory.name)
 
-    def count_output(self, running):
-        running.finish([running.start("zen", "this", ())], 60.0)
+    def count_output(self, running, keep):
+        running.finish([running.start("zen", "this", (), keep=keep)], 60.0)
         return (self.path / "zen.log").read_bytes().count(WORDS)
 
-    def test_second_start_adds_to_the_output(self):
+    def test_second_start_keeps_the_output_on_request(self):
         with processes.Processes(self.path) as running:
-            self.assertEqual(self.count_output(running), 1)
-            self.assertEqual(self.count_output(running), 2)
+            counts = [self.count_output(running, keep) for keep in (True, True, False)]
+        self.assertEqual(counts, [1, 2, 1])
 
     def test_output_of_an_earlier_run_is_dropped(self):
         """A directory is used again; what it holds is taken for this run's."""
         for _ in range(2):
             with processes.Processes(self.path) as running:
-                self.assertEqual(self.count_output(running), 1)
+                self.assertEqual(self.count_output(running, True), 1)
