--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -32,7 +32,7 @@
         if rank >= shares.level(request):
             shares.record(request, rank, now)
         if now > due:
-            shares.update(capacity, now)
+            shares.update(capacity, (0.0,) * 4, now)
             due = now + 0.05
 
 
--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -228,7 +228,7 @@
             self._next_pause = 1
 
 
-def find_levels(groups, capacity):
+def find_levels(groups, capacity, corrections=(0.0,) * CLASSES):
     """Find the admission level of each group so that the demand fits.
 
     Importance goes first: a class is touched only when all below it are refused
@@ -240,12 +240,15 @@
     Args:
         groups: Sequence of pairs: rates for each importance, members.
         capacity: Requests a second that can be served.
+        corrections: For each importance, what the requests that wait before its
+            own add to or take from the capacity.
 
     Returns:
         A list of levels, one for each group.
     """
-    left = max(capacity, 0.0)
+    above = 0.0
     for index in reversed(range(CLASSES)):
+        left = max(capacity + corrections[index] - above, 0.0)
         demand = [rates[index] for rates, _ in groups]
         total = sum(demand)
         if total > left:
@@ -254,7 +257,7 @@
                 index + (1.0 - share / wanted if wanted > share else 0.0)
                 for share, wanted in zip(shares, demand, strict=True)
             ]
-        left -= total
+        above += total
     return [0.0] * len(groups)
 
 
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -126,18 +126,19 @@
             if self._levels[name] > 0.0:
                 demand.shrink(factor)
 
-    def update(self, capacity, now):
+    def update(self, capacity, corrections, now):
         """Set the levels so that what they admit fits a capacity.
 
         Args:
-            capacity: Requests a second that should arrive.
+            capacity: Requests a second that can be served.
+            corrections: What the queue adds to it or takes, by importance.
             now: Time of the loop's clock.
         """
         names = list(self._hot)
         others = max(1, len(self._flows[self._dimension]) - len(names))
         groups = [(self._rest.rates(now), others)]
         groups += [(self._hot[name].rates(now), 1) for name in names]
-        levels = admission.find_levels(groups, capacity)
+        levels = admission.find_levels(groups, capacity, corrections)
         self.rest_level = levels[0]
         self._rest.note_level(levels[0], now)
         self._levels = dict(zip(names, levels[1:], strict=True))
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -419,5 +419,18 @@
             # them takes a second to show it, and callers are refused meanwhile.
             idle = -excess / slots
             lane.shares.shrink(math.exp(-idle * elapsed / IDLE_SECONDS))
-        wanted = lane.capacity * lane.factor + error / REACTION_SECONDS
-        lane.shares.update(max(wanted, 0.0), now)
+        capacity = lane.capacity * lane.factor
+        lane.shares.update(capacity, self._correct(lane, slots, length), now)
+
+    def _correct(self, lane, slots, length):
+        """Return what the queue adds to the capacity for each importance.
+
+        Only what is served before a request delays it. Were the whole queue
+        counted, one full of lesser requests would have important ones refused.
+        """
+        corrections = []
+        for importance in messages.Importance:
+            ahead = lane.queue.count_ahead(importance)
+            excess = max(lane.in_service + ahead - slots, -length / 2.0)
+            corrections.append((length / 2.0 - excess) / REACTION_SECONDS)
+        return corrections
