--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -30,8 +30,10 @@
 PUSH_BYTES = 16 * 1024
 # Bounds in seconds between two attempts to get the member list.
 FETCH_PAUSE = (0.1, 0.5)
-# Seconds without a page after which a daemon that knows peers stops asking.
-FETCH_PATIENCE = 20.0
+# Seconds without meeting a peer that has the member list after which a daemon
+# that knows peers stops asking. In the restart of a zone gossip brings somebody
+# of another zone well within that; the start of a whole mesh waits it out.
+FETCH_PATIENCE = 4.0
 
 
 class SendError(errors.UserError):
@@ -334,23 +336,22 @@
 
     Each page may come from another daemon, so that after the restart of a
     whole zone nobody has to give everything to hundreds of newcomers. When a
-    whole mesh starts at once, nobody has the list: once everyone known has
-    said so, or after a while without progress, what is known is taken for the
-    list; digests settle the rest.
+    whole mesh starts at once, nobody has the list: after a while in which nobody
+    who has it was met, what is known is taken for it; digests settle the rest.
     """
     members = gossip.members
     last = _read_clock()
-    without = set()
+    asked = set()
     while members.next_page < membertable.BUCKETS:
-        before = members.next_page
         contacts = members.find_contacts()
-        untried = [e for e in contacts if e.daemon not in without]
-        if contacts and not untried:
-            members.finish_pages()
-            break
+        if all(endpoint.daemon in asked for endpoint in contacts):
+            asked.clear()
+        untried = [e for e in contacts if e.daemon not in asked]
+        has_list = False
         for endpoint in untried[:1]:
-            without.update(await _fetch_page(gossip, endpoint))
-        if members.next_page > before or len(members) == 1:
+            asked.add(endpoint.daemon)
+            has_list = await _fetch_page(gossip, endpoint)
+        if has_list or len(members) == 1:
             last = _read_clock()
         elif _read_clock() - last > FETCH_PATIENCE:
             members.finish_pages()
@@ -359,7 +360,7 @@
 
 
 async def _fetch_page(gossip, endpoint):
-    """Ask for a page; return who has no list to give, as a set of identifiers."""
+    """Ask for a page; return whether somebody was met who has the list."""
     own = pack_member(gossip.members.own)
     bucket = gossip.members.next_page
     message = _compose(gossip, members=[own], full=True, bucket=bucket)
@@ -367,7 +368,7 @@
         answer = await _send(gossip, endpoint.address, message)
     except SendError:
         gossip.members.missed(endpoint.daemon, _read_clock())
-        return frozenset()
+        return False
     now = _read_clock()
     if answer.sender != endpoint.daemon:
         # The log still names a predecessor at this address.
@@ -376,14 +377,13 @@
     if answer.sender == gossip.members.own.endpoint.daemon:
         # Taken for a peer's, its own empty list would seem complete, and
         # callers would be told "no-endpoint" of services that are there.
-        return frozenset()
+        return False
     page = membership.MemberPage(unpack_members(answer.members), answer.next_bucket)
     changes = gossip.members.take_page(page, now)
     gossip.members.heard(answer.sender, now)
     gossip.notify(changes)
-    if page.members and page.next_bucket == bucket:
-        return frozenset({answer.sender})
-    return frozenset()
+    # Who has no list gives itself; who has given too many lately gives nothing.
+    return page.next_bucket > bucket or not page.members
 
 
 def _read_clock():
