Split the assembly of a daemon; tell at once who leaves; name what a call lacks

A missing key and a ring of services have reasons of their own, and the answer to a missing key says what would be right. A daemon that leaves stops polling the log, which held up its end by up to 5 s, and tells its peers at once. Tests of input, configuration and stops pass as before.

--- a/test/failures/test_input.py
+++ b/test/failures/test_input.py
@@ -49,6 +49,12 @@
         findings = json.loads(reply.body)["error"]["findings"]
         self.assertEqual(3, len(findings))
 
+    def test_a_payout_without_a_key_is_told_what_is_missing(self):
+        reply = self.call(self.node, "royalties/payouts", "POST")
+        self.assertEqual((400, "not-run"), (reply.status, reply.outcome))
+        (finding,) = json.loads(reply.body)["error"]["findings"]
+        self.assertEqual("Idempotency-Key", finding["place"])
+
     def test_a_body_that_is_too_large(self):
         size = 5 << 20
         answer = self.http.request(
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -172,7 +172,7 @@
 
     def test_a_payout_without_a_key_is_refused_before_it_is_sent(self):
         routed = self.route(self.build(complete), "POST", "/payouts")
-        self.assertEqual(Reason.BAD_REQUEST, routed.answer.reason)
+        self.assertEqual(Reason.KEY_MISSING, routed.answer.reason)
         self.assertEqual(Outcome.NOT_RUN, routed.answer.outcome)
         self.assertFalse(self.mesh.sent)
 
@@ -262,7 +262,7 @@
         routed = routing.route_nested(
             router.Incoming("attempt-1", "catalog", "GET", "/"), holder
         )
-        self.assertEqual(508, routed.answer.status)
+        self.assertEqual(Reason.TOO_DEEP, routed.answer.reason)
         self.assertFalse(self.mesh.sent)
 
 
--- /dev/null
+++ b/whinwinch/assembly.py
@@ -0,0 +1,220 @@
+"""The parts of a daemon, put together."""
+
+import asyncio
+import math
+import random
+import sys
+import time
+from typing import NamedTuple
+
+from . import (
+    configuration,
+    control,
+    flight,
+    levels,
+    membership,
+    messages,
+    metrics,
+    placement,
+    recording,
+    resources,
+    retries,
+    router,
+    running,
+    traces,
+)
+from .backends.gatekeeper import Gatekeeper
+from .daemons import client as peer_client
+from .guarded import Guarded
+from .lifecycle import Way
+from .logservice import relay, streams
+from .logservice.client import LogClient
+from .operators import access
+from .operators.store import Store
+
+LOG_POOL = 4
+
+
+class Parts(NamedTuple):
+    """The parts of a running daemon."""
+
+    settings: object
+    loop: asyncio.AbstractEventLoop
+    own: str
+    log: LogClient
+    members: membership.Membership
+    store: Store
+    relay: relay.Relay
+    flights: flight.FlightCounter
+    metrics: metrics.Metrics
+    running: running.Running
+    ledger: Guarded
+    levels: Guarded
+    peers: peer_client.PeerClient
+    control: control.Control
+    notes: recording.Notes
+
+
+def build_parts(settings, loop):
+    """Return the parts of a daemon."""
+    own = messages.new_identifier()
+    endpoint = messages.Endpoint(
+        daemon=own,
+        address=str(settings.advertise or settings.peer_address),
+        zone=settings.zone,
+        region=settings.region,
+    )
+    log = LogClient(settings.log, LOG_POOL)
+    members = membership.Membership(
+        endpoint,
+        random.Random(),
+        membership.Settings(interval=settings.gossip_interval),
+    )
+    store = Store(
+        configuration.Configuration(),
+        log.append,
+        configuration.encode_change,
+        streams.CONFIGURATION,
+    )
+    flights = flight.FlightCounter()
+    ledger = Guarded(retries.Ledger())
+
+    notes = build_notes(settings, own)
+    config = build_relay(store, notes)
+    counts = metrics.Metrics()
+
+    peers = peer_client.PeerClient(
+        loop.time, access.choose_peer_token(settings.peer_token)
+    )
+
+    def tick(now):
+        peers.close_idle(now)
+        with ledger as state:
+            state.expire(now)
+        if not store.ready and config.find_age(now) < math.inf:
+            store.mark_ready()
+
+    return Parts(
+        settings=settings,
+        loop=loop,
+        own=own,
+        log=log,
+        members=members,
+        store=store,
+        relay=config,
+        flights=flights,
+        metrics=counts,
+        running=running.Running(),
+        ledger=ledger,
+        levels=Guarded(levels.Levels()),
+        peers=peers,
+        control=control.Control(
+            loop,
+            settings,
+            own,
+            members,
+            log,
+            flights,
+            tick,
+            counts.count_claim,
+            notes,
+        ),
+        notes=notes,
+    )
+
+
+def build_notes(settings, own):
+    """Return the functions that write the trace, if there is to be one."""
+    if not settings.trace:
+        return recording.NOTHING
+    return recording.build_notes(own, traces.make_recorder(sys.stdout, time.time))
+
+
+def build_relay(store, notes):
+    """Return the relay that hands configuration records on to peers."""
+    kept = relay.RecordStore(find_covered)
+
+    def apply_record(record):
+        before = store.version
+        taken = take_record(record)
+        if notes is not recording.NOTHING and store.version != before:
+            notes.configured(store.version, store.encode_resources())
+        return taken
+
+    def take_record(record):
+        applied = store.apply_record(record.offset, record.time, record.data)
+        if applied.ground is not configuration.Ground.GAP:
+            kept.add(record)
+            return True
+        if not store.install_snapshot(record.data):
+            return False
+        kept.add(record)
+        return True
+
+    return relay.Relay(apply_record, kept.records_from, lambda: store.offset)
+
+
+def find_covered(data):
+    """Return the offset that a snapshot record covers, None for another one."""
+    # Changes are many and snapshots few; the text tells them apart cheaply.
+    if b'"snapshot"' not in data[:64]:
+        return None
+    decoded = configuration.decode_record(data)
+    return getattr(decoded, "covers", None)
+
+
+def build_gatekeeper(parts):
+    """Return the gatekeeper of the own backend server."""
+    return Gatekeeper(
+        clock=parts.loop.time,
+        claim=parts.control.claim,
+        note_end=parts.control.note_end,
+        ledger=parts.ledger,
+        running=parts.running,
+        takes_work=lambda: parts.control.admits(Way.INWARD),
+        max_body=parts.settings.max_body,
+        notes=parts.notes,
+    )
+
+
+def build_router(parts, gatekeeper):
+    """Return the router of calls from callers and the own backend server."""
+    return router.Router(
+        clock=parts.loop.time,
+        places=router.Places(
+            own=parts.own,
+            find_endpoints=parts.members.find_endpoints,
+            has_room=gatekeeper.has_room,
+            serve=gatekeeper.serve,
+            call=parts.peers.call,
+        ),
+        find_service=lambda name: parts.store.snapshot().find_service(name),
+        match_call=resources.match_call,
+        placement_state=Guarded(
+            placement.Placement(parts.settings.zone, random.Random())
+        ),
+        levels=parts.levels,
+        ledger=parts.ledger,
+        running=parts.running,
+        random=random.random,
+        key_window=parts.settings.key_window,
+        note=build_note(parts),
+        notes=parts.notes,
+    )
+
+
+def build_note(parts):
+    """Return the function that counts the end of a call."""
+
+    def note(incoming, routed, seconds):
+        answer = routed.answer
+        parts.metrics.note_call(
+            incoming.service,
+            routed.importance,
+            answer.outcome,
+            answer.reason,
+            seconds,
+            routed.retries,
+        )
+
+    return note
--- a/whinwinch/callers/answers.py
+++ b/whinwinch/callers/answers.py
@@ -4,6 +4,7 @@
 import json
 import math
 
+from ..errors import Finding
 from ..messages import Outcome, Reason
 
 STATUSES = {
@@ -12,6 +13,8 @@
     Reason.BROKEN: 502,
     Reason.KEY_CLAIMED: 409,
     Reason.KEY_AGE: 422,
+    Reason.KEY_MISSING: 400,
+    Reason.TOO_DEEP: 508,
 }
 EXPLANATIONS = {
     Reason.LEVEL: "the service, or one that it calls, is overloaded",
@@ -29,9 +32,17 @@
     "work can't be claimed",
     Reason.KEY_CLAIMED: "work with this key has been claimed before",
     Reason.KEY_AGE: "the key must be a UUID of version 7 made within the window",
+    Reason.KEY_MISSING: "this call must not be repeated: it needs a good key",
+    Reason.TOO_DEEP: "the call has passed too many services; do they call in a ring?",
     Reason.BAD_REQUEST: "the request is wrong",
     Reason.DEEPER: "a service further down refused",
 }
+# Refusals that the caller can mend in its request.
+FINDINGS = {
+    Reason.KEY_MISSING: Finding(
+        "Idempotency-Key", "must be a UUID of version 7 that was made lately"
+    )
+}
 
 
 def build_headers(routed):
@@ -65,6 +76,8 @@
         "reason": answer.reason.value,
         "message": EXPLANATIONS.get(answer.reason, answer.reason.value),
     }
+    if answer.reason in FINDINGS:
+        error["findings"] = [FINDINGS[answer.reason]._asdict()]
     return encode_json({"error": error})
 
 
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -61,11 +61,19 @@
         self._claimers = {}
         self._claimer_tasks = set()
         self._install = None
+        self._wake = None
         self.stopped = asyncio.Event()
 
-    def connect(self, install):
-        """Say who is told of a new announcement: the gatekeeper."""
+    def connect(self, install, wake):
+        """Say who is told of changes.
+
+        Args:
+            install: Takes the new `Announcement` or None: the gatekeeper.
+            wake: Lets gossip tell the news at once instead of with its next
+                probe, so that callers needn't be refused by who leaves.
+        """
         self._install = install
+        self._wake = wake
 
     @property
     def announcement(self):
@@ -172,6 +180,7 @@
         slots = announcement.slots if announcement else own.slots
         leaving = lifecycle.is_leaving(self._lifecycle)
         self._membership.announce(service, slots, leaving, now)
+        self._wake()
 
     async def _claim(self, request):
         task = self._find_claimer(request.service)
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -48,6 +48,8 @@
     LOG_DOWN = "log-down"
     KEY_CLAIMED = "key-claimed"
     KEY_AGE = "key-age"
+    KEY_MISSING = "key-missing"
+    TOO_DEEP = "too-deep"
     BAD_REQUEST = "bad-request"
     DEEPER = "refused-deeper"
 
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -206,7 +206,7 @@
 
     def _check_and_route(self, request, incoming, call, holder):
         if len(request.via) >= DEEPEST_PATH:
-            return _refuse(request, Reason.BAD_REQUEST, status=508)
+            return _refuse(request, Reason.TOO_DEEP)
         # A key marks a request as non-idempotent, whatever is declared.
         if call.idempotent and not incoming.key:
             return self._try_endpoints(request, holder)
@@ -214,8 +214,8 @@
         reason = check_key(incoming.key, time.time(), window)
         if reason is Reason.NONE:
             return self._try_endpoints(request, holder)
-        if reason is Reason.BAD_REQUEST:
-            return _refuse(request, reason, status=400)
+        if reason is Reason.KEY_MISSING:
+            return _refuse(request, reason)
         # The key was good once, and the work may have run then. Told "not
         # run", the caller would make a new key and have it run again.
         return _refuse(request, reason)._replace(outcome=Outcome.UNKNOWN)
@@ -353,25 +353,25 @@
         window: Seconds for which a key is good.
 
     Returns:
-        BAD_REQUEST for what never was a good key, KEY_AGE for one too old.
+        KEY_MISSING for what never was a good key, KEY_AGE for one too old.
     """
     normal = claims.normalize_key(key)
     if not normal:
-        return Reason.BAD_REQUEST
+        return Reason.KEY_MISSING
     made = claims.get_key_time(normal)
     if made > wall + claims.AHEAD:
-        return Reason.BAD_REQUEST
+        return Reason.KEY_MISSING
     if made < wall - window:
         return Reason.KEY_AGE
     return Reason.NONE
 
 
-def _refuse(request, reason, retry_after=0.0, status=503):
+def _refuse(request, reason, retry_after=0.0):
     return Answer(
         request.attempt,
         Outcome.NOT_RUN,
         reason,
-        status=status,
+        status=503,
         unused=request.budget,
         retry_after=retry_after,
     )
--- /dev/null
+++ b/whinwinch/tasks.py
@@ -0,0 +1,111 @@
+"""The control tasks of a daemon, on its event loop."""
+
+import asyncio
+import contextlib
+import time
+
+import grpc
+
+from .daemons import gossip
+from .lifecycle import Phase
+from .logservice import follower, joining, readers, snapshots, streams
+from .logservice.client import LogUnavailable
+
+GOSSIP_TIMEOUT = 3.0
+# A daemon that stops doesn't wait longer than this for the log.
+GOODBYE_SECONDS = 1.0
+
+
+def build_send(parts):
+    """Return the awaitable that sends gossip from the loop."""
+
+    async def send(address, message):
+        try:
+            return await asyncio.to_thread(
+                parts.peers.gossip, address, message, GOSSIP_TIMEOUT
+            )
+        except grpc.RpcError as error:
+            raise gossip.SendError(f"{address}: {error.code()}") from error
+
+    return send
+
+
+async def run_tasks(parts, gatekeeper, talk):
+    """Run the control tasks until the daemon has stopped."""
+    tasks = [
+        asyncio.create_task(task)
+        for task in (
+            gossip.run_gossip(talk),
+            follow_configuration(parts, talk),
+            write_snapshots(parts),
+            joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
+        )
+    ]
+    ending = asyncio.create_task(parts.control.run())
+    done, _ = await asyncio.wait([*tasks, ending], return_when=asyncio.FIRST_COMPLETED)
+    if parts.control.phase is Phase.STOPPED:
+        await say_goodbye(parts, talk)
+    for task in (*tasks, ending):
+        task.cancel()
+    for task in done:
+        task.result()
+
+
+async def say_goodbye(parts, talk):
+    """Tell peers and the log that this daemon has gone, for a bounded time.
+
+    Peers would find out by their probes, some seconds later.
+    """
+    parts.members.leave(parts.loop.time())
+    talk.wake.set()
+    _, append = build_stream(parts, streams.MEMBERS)
+    with contextlib.suppress(TimeoutError, LogUnavailable):
+        async with asyncio.timeout(GOODBYE_SECONDS):
+            await joining.append_leave(append, parts.members, parts.loop.time())
+    await asyncio.sleep(gossip.PUSH_INTERVAL)
+
+
+def build_stream(parts, stream):
+    """Return awaitable functions that read and append to a stream of the log."""
+
+    async def read(offset, limit, wait):
+        return await asyncio.to_thread(parts.log.read, stream, offset, limit, wait)
+
+    async def append(data):
+        return await asyncio.to_thread(parts.log.append, stream, data)
+
+    return read, append
+
+
+async def follow_configuration(parts, talk):
+    """Read the configuration from the log while it is this daemon's turn."""
+    read, _ = build_stream(parts, streams.CONFIGURATION)
+    await follower.run_follower(
+        read, parts.relay, lambda now: is_reader(parts, now), talk.wake
+    )
+
+
+async def write_snapshots(parts):
+    """Write snapshots of the configuration while this daemon reads the log."""
+    _, append = build_stream(parts, streams.CONFIGURATION)
+    await snapshots.run_snapshots(
+        lambda: parts.store.plan_snapshot(parts.settings.log_retention, time.time()),
+        parts.store.encode_snapshot,
+        append,
+        lambda: is_reader(parts, parts.loop.time()),
+    )
+
+
+def is_reader(parts, now):
+    """Return whether this daemon reads the configuration from the log.
+
+    One that leaves doesn't: a long poll under way would hold up its end.
+    """
+    if parts.control.phase is not Phase.SERVING:
+        return False
+    return readers.is_reader(
+        parts.members.members(),
+        parts.members.own,
+        streams.CONFIGURATION,
+        parts.relay.find_age(now),
+    )
