--- a/test/backends/test_gatekeeper.py
+++ b/test/backends/test_gatekeeper.py
@@ -4,7 +4,7 @@
 import unittest
 import unittest.mock
 
-from whinwinch import claims, messages, retries, running
+from whinwinch import claims, levels, messages, retries, running
 from whinwinch.backends import gatekeeper
 from whinwinch.backends.registry import Announcement
 from whinwinch.claims import ClaimVerdict, Verdict
@@ -54,6 +54,7 @@
         self.takes_work = True
         self.running = running.Running()
         self.ledger = Guarded(retries.Ledger())
+        self.levels = Guarded(levels.Levels())
         self.client = FakeClient(complete)
         patch = unittest.mock.patch.object(
             gatekeeper, "BackendClient", lambda *arguments: self.client
@@ -65,6 +66,7 @@
             claim=self.claim,
             note_end=lambda request, answer: self.ended.append(answer.outcome),
             ledger=self.ledger,
+            levels=self.levels,
             running=self.running,
             takes_work=lambda: self.takes_work,
             max_body=1000,
@@ -172,6 +174,30 @@
         self.assertTrue(answer.deeper)
         self.assertEqual(2.0, answer.retry_after)
 
+    def test_what_would_be_refused_below_takes_no_slot(self):
+        """A service further down sheds all but critical work.
+
+        Let in here, a request would take a slot for an answer that can't be
+        whole, and the hop above would try it at the next endpoint.
+        """
+
+        def meet_a_level(request):
+            child = Answer("child", Outcome.COMPLETED, load=messages.Load(level=3.0))
+            self.running.note_answer(request.attempt, child)
+            return complete(request)
+
+        self.client.answer = meet_a_level
+        for number in range(20):
+            self.gatekeeper.serve(build_request(f"c{number}"))
+        ran = len(self.client.ran)
+        answer = self.gatekeeper.serve(
+            build_request("n1", importance=Importance.NORMAL)
+        )
+        self.assertEqual(ran, len(self.client.ran))
+        self.assertEqual(Reason.LEVEL, answer.reason)
+        self.assertTrue(answer.deeper)
+        self.assertGreater(answer.load.below, 0.0)
+
     def test_a_slow_log_does_not_take_all_slots(self):
         """The log is slow, so that payouts wait for their claims.
 
--- a/whinwinch/assembly.py
+++ b/whinwinch/assembly.py
@@ -170,6 +170,7 @@
         claim=parts.control.claim,
         note_end=parts.control.note_end,
         ledger=parts.ledger,
+        levels=parts.levels,
         running=parts.running,
         takes_work=lambda: parts.control.admits(Way.INWARD),
         max_body=parts.settings.max_body,
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -32,6 +32,7 @@
         note_end: Takes a `Request` and its `Answer`; notes in the log how
             claimed work ended.
         ledger: `retries.Ledger` of the attempts inside, `guarded`.
+        levels: `levels.Levels` of the daemon, `guarded`.
         running: `running.Running`.
         takes_work: Returns whether new work is taken.
         max_body: Largest answer taken, in bytes.
@@ -44,6 +45,7 @@
         claim,
         note_end,
         ledger,
+        levels,
         running,
         takes_work,
         max_body,
@@ -53,6 +55,7 @@
         self._claim = claim
         self._note_end = note_end
         self._ledger = ledger
+        self._levels = levels
         self._running = running
         self._takes_work = takes_work
         self._max_body = max_body
@@ -103,6 +106,9 @@
 
     def serve(self, request):
         """Serve one attempt and return its answer."""
+        refused = self._refuse_for_below(request)
+        if refused is not None:
+            return refused
         decision, waiter = self._offer(request)
         if waiter is not None:
             decision = self._wait(request, waiter, decision.expires)
@@ -129,11 +135,29 @@
             if reason is not None:
                 return _build_refusal(request, reason), None
             decision = self._gate.offer(request, now)
-            if decision.verdict is not gate.Verdict.WAIT:
-                return decision, None
-            waiter = Waiter(threading.Event(), [])
-            self._waiters[request.attempt] = waiter
-            return decision, waiter
+            # A more important request may have taken the place of a waiting
+            # one, which is told at once instead of when its time is over.
+            displaced = self._gate.expire(now)
+            waiter = None
+            if decision.verdict is gate.Verdict.WAIT:
+                waiter = Waiter(threading.Event(), [])
+                self._waiters[request.attempt] = waiter
+        self._deliver(displaced)
+        return decision, waiter
+
+    def _refuse_for_below(self, request):
+        """Refuse what the calls below would be refused for, or return None.
+
+        Let in, it would take a slot here for an answer that can't be whole.
+        """
+        with self._levels as levels:
+            decision = levels.refuse_below(request, self._clock())
+        if decision is None:
+            return None
+        self._notes.admission(request, False)
+        answer = self._refuse(request, decision)._replace(deeper=True)
+        self._notes.answered(answer)
+        return answer
 
     def _check(self, request, now):
         """Return why a request can't be taken at all, or None."""
@@ -240,6 +264,9 @@
         answer = client.forward(request, left)
         self._notes.run(request, answer)
         below = self._running.finish(request.attempt)
+        if below.calls:
+            with self._levels as levels:
+                levels.learn_below(request, below.level, self._clock())
         return self._complete_answer(request, answer, below)
 
     def _complete_answer(self, request, answer, below):
@@ -270,7 +297,9 @@
         if decision.reason is Reason.ABANDONED:
             # The first copy of this message may be running.
             answer = answer._replace(outcome=Outcome.UNKNOWN, unused=0)
-        return answer._replace(load=self.load(request))
+        with self._levels as levels:
+            below = levels.below(request, self._clock())
+        return answer._replace(load=self.load(request)._replace(below=below))
 
 
 def _build_refusal(request, reason):
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -239,11 +239,14 @@
                 return answer
 
     def _refuse_by_level(self, request):
+        now = self._clock()
         with self._levels as levels:
-            decision = levels.refuse(request, self._clock())
+            decision = levels.refuse(request, now)
+            below = levels.level(request.service, request.call, now, request)
         if decision is None:
             return None
-        return self._log_refusal(request, decision.reason, decision.retry_after)
+        refused = self._log_refusal(request, decision.reason, decision.retry_after)
+        return refused._replace(load=messages.Load(below=below))
 
     def _choose(self, request, tried):
         """Choose an endpoint; the own one while it has room, to save a hop."""
@@ -280,11 +283,11 @@
         self._notes.attempt(attempt, tries > 0)
         started = self._clock()
         with self._placement as state:
-            state.start(endpoint.daemon, started)
+            state.start(endpoint.daemon, started, attempt)
         answer = self._serve_or_call(attempt, endpoint)
         ended = self._clock()
         with self._placement as state:
-            state.observe(endpoint.daemon, answer, ended - started, ended)
+            state.observe(endpoint.daemon, answer, ended - started, ended, attempt)
         with self._levels as levels:
             levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
         return answer
--- a/whinwinch/running.py
+++ b/whinwinch/running.py
@@ -14,11 +14,13 @@
     """What the calls below an attempt have met.
 
     Attributes:
+        calls: Calls that have been answered.
         level: Highest admission level.
         refused: Whether one of them ended as refused or unknown.
         retry_after: Longest time to come back that they named, in seconds.
     """
 
+    calls: int = 0
     level: float = 0.0
     refused: bool = False
     retry_after: float = 0.0
@@ -64,6 +66,7 @@
 def _merge_below(below, answer):
     refused = answer.outcome is not messages.Outcome.COMPLETED or answer.deeper
     return Below(
+        calls=below.calls + 1,
         level=max(below.level, answer.load.level, answer.load.below),
         refused=below.refused or refused,
         retry_after=max(below.retry_after, answer.retry_after),
