--- a/test/test_pages_run.py
+++ b/test/test_pages_run.py
@@ -29,6 +29,7 @@
     r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ",
     r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}",
     r"\b[0-9a-f]{32}\b",
+    r"I\d{4} \d\d:\d\d:\d\d\.\d{6} \d+ decisions\.py:\d+",
 )
 # A line of `whinwinch watch`, which goes on beside the other commands.
 WATCHED = re.compile(r"\d+ \S+Z \S+ (applied|deleted) by ")
@@ -148,7 +149,7 @@
             if bool(WATCHED.match(line)) != watched or line == "...":
                 continue
             pattern = compile_shown(line)
-            if not any(pattern.search(each) for each in left):
+            if not any(pattern.match(each) for each in left):
                 missing.append(line)
     return missing
 
@@ -173,13 +174,15 @@
 
     def run_step(self, shell, step):
         status, lines = shell.run(step.commands)
-        # The watch's line may come after the end of the step.
-        while any(WATCHED.match(line) for line in find_missing(step.shown, lines)):
-            lines.append(shell.read_line())
         output = "\n".join([step.commands, *lines])
-        self.assertEqual(find_missing(step.shown, lines), [], output)
         failing = any(line.startswith("whinwinch: ") for line in step.shown)
         self.assertEqual(status, 2 if failing else 0, output)
+        missing = find_missing(step.shown, lines)
+        late = [line for line in missing if WATCHED.match(line)]
+        self.assertEqual(missing, late, output)
+        # The watch's line may come after the end of the step.
+        while find_missing(step.shown, lines):
+            lines.append(shell.read_line())
 
 
 if __name__ == "__main__":
