Mend what a newcomer stumbled over

Refusals name the caller, a call refused while not ready is logged under the id that the caller was given, too many waiting claims are no longer called an outage of the log, and the answer for an old key says that the work may have run. absl no longer warns in each daemon's first line.

--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -224,6 +224,8 @@
         if not request.key:
             return self._run(request)
         verdict = self._claim_within_share(request)
+        if verdict is None:
+            return _build_not_run(request, Reason.QUEUE)
         decisions.log_decision(
             decisions.Claimed(
                 request.root, request.attempt, request.key, verdict.verdict.value
@@ -236,12 +238,11 @@
         return answer
 
     def _claim_within_share(self, request):
+        """Return the log's verdict, or None when too many wait for theirs."""
         with self._lock:
             limit = max(1, int(self._gate.load(self._clock()).limit * CLAIMING_SHARE))
             if self._claiming >= limit:
-                return claims.ClaimVerdict(
-                    claims.Verdict.LOG_DOWN, retry_after=DEFAULT_RETRY_AFTER
-                )
+                return None
             self._claiming += 1
         try:
             return self._claim(request)
@@ -288,6 +289,7 @@
                 request.service,
                 request.call,
                 request.importance.name,
+                request.caller,
                 decision.reason.value,
                 decision.retry_after,
                 "gatekeeper",
--- a/whinwinch/callers/answers.py
+++ b/whinwinch/callers/answers.py
@@ -31,7 +31,8 @@
     Reason.LOG_DOWN: "the platform's log does not answer, so non-idempotent "
     "work can't be claimed",
     Reason.KEY_CLAIMED: "work with this key has been claimed before",
-    Reason.KEY_AGE: "the key must be a UUID of version 7 made within the window",
+    Reason.KEY_AGE: "the key is too old to be claimed; the work may have run while "
+    "it was good",
     Reason.KEY_MISSING: "this call must not be repeated: it needs a good key",
     Reason.TOO_DEEP: "the call has passed too many services; do they call in a ring?",
     Reason.BAD_REQUEST: "the request is wrong",
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -4,7 +4,7 @@
 import concurrent.futures
 import signal
 
-from absl import logging
+from absl import flags, logging
 
 from . import __version__, assembly, entrances, tasks
 from .callers import server as http_server
@@ -17,6 +17,8 @@
 
 def run(settings):
     """Run a daemon until SIGTERM or SIGINT; return the exit code."""
+    # There are no absl flags here; unmarked, absl warns of that in its first line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(getattr(logging, settings.verbosity.upper()))
     return asyncio.run(serve(settings))
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -27,6 +27,7 @@
     service: str
     call: str
     importance: str
+    caller: str
     reason: str
     retry_after: float
     at: str
--- a/whinwinch/entrances.py
+++ b/whinwinch/entrances.py
@@ -143,11 +143,12 @@
     )
     decisions.log_decision(
         decisions.Refused(
-            incoming.identifier,
+            incoming.identifier or attempt,
             attempt,
             incoming.service,
             "",
             "",
+            incoming.caller,
             reason.value,
             SECONDS_TO_COME_BACK,
             "entry",
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -339,6 +339,7 @@
                 request.service,
                 request.call,
                 request.importance.name,
+                request.caller,
                 reason.value,
                 retry_after,
                 "entry",
