Count requests that are not routed; take out what nothing uses

Dead since the wiring: distrust by health news, is_idle, the list of gossip partners and the reading of health endpoints (the backend servers' guide says that they are not asked). A test of the gate asked is_idle; it now asks the load and the next expiry.

--- a/test/failures/test_input.py
+++ b/test/failures/test_input.py
@@ -49,6 +49,11 @@
         findings = json.loads(reply.body)["error"]["findings"]
         self.assertEqual(3, len(findings))
 
+    def test_bad_requests_are_counted(self):
+        self.call(self.node, "royalties/x", Priority="u=9")
+        metrics = self.http.request("GET", f"{self.node.entry_url}/metrics").data
+        self.assertIn(b'whinwinch_events_total{event="bad-request"}', metrics)
+
     def test_a_payout_without_a_key_is_told_what_is_missing(self):
         reply = self.call(self.node, "royalties/payouts", "POST")
         self.assertEqual((400, "not-run"), (reply.status, reply.outcome))
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -99,7 +99,9 @@
         fill(guard, 2)
         self.assertEqual(guard.withdraw("fill1", 0.0), ())
         self.assertEqual(guard.finish("fill0", 1.0, 1.0, True), ())
-        self.assertTrue(guard.is_idle())
+        load = guard.load(1.0)
+        self.assertEqual((0, 0), (load.in_service, load.waiting))
+        self.assertIsNone(guard.next_expiry())
 
     def test_resize_admits_what_waits(self):
         guard = gate.Gate(1)
--- a/whinwinch/backends/client.py
+++ b/whinwinch/backends/client.py
@@ -94,13 +94,6 @@
             body=body,
         )
 
-    def read_status(self, path, timeout):
-        """Return the HTTP status of a health or load endpoint, 0 for none."""
-        try:
-            return self._pool.request("GET", path, timeout=timeout).status
-        except (urllib3.exceptions.HTTPError, OSError):
-            return 0
-
     def close(self):
         """Close the kept connections."""
         self._pool.close()
--- a/whinwinch/callers/app.py
+++ b/whinwinch/callers/app.py
@@ -15,7 +15,7 @@
 FULL_PRESSURE = 1.0
 
 
-def build_app(route, max_body, threads, count_in_flight):
+def build_app(route, max_body, threads, count_in_flight, count_event):
     """Return a WSGI callable for calls.
 
     Args:
@@ -23,18 +23,22 @@
         max_body: Largest body taken, in bytes.
         threads: Threads that run this callable.
         count_in_flight: Returns the number of calls being handled.
+        count_event: Counts a request that isn't routed, by a short text.
     """
     most_in_flight = threads - max(1, int(threads * RESERVED_SHARE))
 
     def serve_call(environ, start_response):
         body = bodies.read_body(environ, max_body)
         if body.finding is not None:
+            count_event("bad-body")
             return _respond_findings(start_response, body.status, [body.finding])
         parsed = headers.parse_call(environ, body.data)
         if parsed.findings:
+            count_event("bad-request")
             identifier = parsed.incoming.identifier
             return _respond_findings(start_response, 400, parsed.findings, identifier)
         if count_in_flight() >= most_in_flight:
+            count_event("threads-full")
             return _respond_full(start_response, parsed.incoming)
         return _respond(start_response, route(parsed.incoming))
 
--- a/whinwinch/entrances.py
+++ b/whinwinch/entrances.py
@@ -56,12 +56,14 @@
         settings.max_body,
         settings.threads,
         lambda: parts.flights.count(Way.ENTRY),
+        parts.metrics.count_event,
     )
     outgoing = caller_app.build_app(
         build_outgoing_route(parts, route),
         settings.max_body,
         settings.threads,
         lambda: parts.flights.count(Way.OUTWARD),
+        parts.metrics.count_event,
     )
     public = http_server.build_dispatcher(
         calls, build_admin(parts, gatekeeper, operators), build_probes(parts)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -278,10 +278,6 @@
         self._limit.resize(max(1, slots))
         return self._admit_waiting(now)
 
-    def is_idle(self):
-        """Return whether nothing is in service and nothing waits."""
-        return not self._running and not any(lane.queue for lane in self._lanes())
-
     def _lanes(self):
         return self._short, self._long
 
--- a/whinwinch/logservice/claimer.py
+++ b/whinwinch/logservice/claimer.py
@@ -16,6 +16,7 @@
 
 from .. import claims
 from ..claims import Claim, ClaimVerdict, Done, Release, Verdict
+from . import streams
 
 # Entries of one append: some 75 kB, a page that the log carries in one message.
 BATCH = 500
@@ -108,7 +109,7 @@
         note=None,
     ):
         self._client = client
-        self._stream = f"claims.{service}"
+        self._stream = f"{streams.CLAIMS}.{service}"
         self._incarnation = incarnation
         self._unavailable = unavailable
         self._run = run
--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -242,11 +242,6 @@
         """Return the endpoints of a service; safe from any thread."""
         return self._table.find_endpoints(service)
 
-    def find_partners(self):
-        """Return the endpoints to which connections are worth keeping."""
-        known = (self._table.get(daemon) for daemon in self._partners)
-        return tuple(member.endpoint for member in known if member is not None)
-
     def find_cut_regions(self):
         """Return the regions that have stopped answering."""
         return frozenset(
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -42,9 +42,6 @@
 REPORT_SECONDS = 1.0
 # A refusal marks an endpoint as full for about this long.
 FULL_SECONDS = 0.25
-# Health news lag and mislead; they count for this long and this much.
-DISTRUST_SECONDS = 10.0
-DISTRUST_COST = 0.5
 # Another zone costs a round trip more; worth it from this much more load on.
 ZONE_COST = 0.2
 DEPARTED_SECONDS = 60.0
@@ -83,7 +80,6 @@
         self.report = messages.Load()
         self.reported = -math.inf
         self.full = -math.inf
-        self.distrusted = -math.inf
 
     def wait(self, now):
         """Return how long the oldest attempt is out, to the usual latency."""
@@ -215,10 +211,6 @@
             self._usual.popitem(last=False)
         return usual
 
-    def distrust(self, daemon_id, now):
-        """Lower the trust in a daemon of which bad news were heard."""
-        self._find(daemon_id, now).distrusted = now
-
     def _take_refusal(self, record, answer, now):
         if answer.deeper:
             return
@@ -316,8 +308,6 @@
         cost += busy / slots * max(record.slowness, 1.0) ** 2
         if now - record.full < FULL_SECONDS:
             cost += 1.0
-        if now - record.distrusted < DISTRUST_SECONDS:
-            cost += DISTRUST_COST
         return cost
 
 
