--- a/test/failures/test_stops.py
+++ b/test/failures/test_stops.py
@@ -13,6 +13,8 @@
 # off, their outcome is unknown and nobody may send them again, so that the
 # caller sees it; a read would be tried elsewhere unseen.
 LONG_WORK = 50
+# Told so, a caller goes to the next daemon, as the callers' guide says.
+MOVED_ON = ("leaving", "not-ready")
 
 
 class Load:
@@ -31,11 +33,16 @@
         ]
 
     def _ask(self, number):
+        ask = self._pay if number % 2 else self._read
+        turn = number
         while not self._ending.is_set():
-            node = self._nodes[number % len(self._nodes)]
+            node = self._nodes[turn % len(self._nodes)]
             marker = meshes.new_marker()
-            ask = self._pay if number % 2 else self._read
-            self.replies.append((marker, ask(node, marker)))
+            reply = ask(node, marker)
+            if reply.outcome == "not-run" and reply.reason in MOVED_ON:
+                turn += 1
+                continue
+            self.replies.append((marker, reply))
 
     def _read(self, node, marker):
         return self._test.call(
@@ -92,6 +99,26 @@
             self.wait_until("its endpoint serves", lambda n=node: self.serves(n))
         self.assert_all_whole(load.end())
 
+    def test_entries_that_are_restarted_lose_no_request(self):
+        """Every daemon that callers come in at is replaced in turn, under load.
+
+        Callers are told "not run" and go to the next daemon; what is under way
+        ends first, payouts of a second among it.
+        """
+        load = Load(self, self.entries)
+        for node in self.entries:
+            seen = len(load.replies)
+            self.wait_until(
+                "callers are served", lambda n=seen: len(load.replies) > n + CALLERS
+            )
+            daemon = self.find_daemon(node)
+            self.signal(node, signal.SIGTERM)
+            self.assertEqual(0, daemon.popen.wait(meshes.GENEROUS))
+            self.running.forget(daemon)
+            self.restart(node)
+            self.wait_until("the new daemon is ready", lambda n=node: self.is_ready(n))
+        self.assert_all_whole(load.end())
+
     def serves(self, node):
         return self.call(node, "royalties/x").status == 200
 
