--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -50,6 +50,11 @@
             settings.read_settings(parser.parse_args([]), {})
         self.assertEqual(5, len(caught.exception.findings))
 
+    def test_strangers_cannot_announce_a_backend_server(self):
+        for address in ("0.0.0.0:7301", "10.0.0.1:7301", "localhost:7301"):
+            with self.subTest(address), self.assertRaises(errors.InputErrors):
+                read(["--backend-address", address])
+
     def test_secrets_have_no_flag(self):
         parser = argparse.ArgumentParser()
         settings.add_arguments(parser)
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -1,5 +1,6 @@
 """Settings of a daemon: flags and environment variables, checked together."""
 
+import ipaddress
 import urllib.parse
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -88,6 +89,18 @@
     return Address(host, int(port))
 
 
+def parse_loopback_address(text):
+    """Parse an address that only this instance reaches.
+
+    Whoever reaches it may announce a backend server and be given its callers'
+    requests.
+    """
+    address = parse_address(text)
+    if not ipaddress.ip_address(address.host).is_loopback:
+        raise ValueError("must be a loopback address, for example 127.0.0.1:7301")
+    return address
+
+
 def parse_optional_address(text):
     """Parse an address that may be left out."""
     return parse_address(text) if text else None
@@ -147,7 +160,7 @@
     ),
     Option(
         "backend-address",
-        parse_address,
+        parse_loopback_address,
         None,
         "HOST:PORT on the loopback interface where the own backend server "
         "announces itself and places its outgoing calls.",
