--- a/whinwinch/backends/client.py
+++ b/whinwinch/backends/client.py
@@ -2,7 +2,7 @@
 
 import urllib3
 
-from ..messages import Answer, Outcome, Reason
+from ..messages import Answer, Outcome, Reason, build_failure
 
 CONNECT_TIMEOUT = 1.0
 # These belong to one connection, not to the request or the answer.
@@ -63,11 +63,11 @@
             urllib3.exceptions.ConnectTimeoutError,
         ):
             # No connection, so not a byte has been sent.
-            return _build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT, 503)
+            return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT, 503)
         except urllib3.exceptions.TimeoutError:
-            return _build_failure(request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
+            return build_failure(request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
         except (urllib3.exceptions.HTTPError, OSError):
-            return _build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
+            return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
 
     def _read_answer(self, request, response):
         """Read the whole body; half of one is no answer."""
@@ -75,7 +75,7 @@
             body = response.read(self._max_body + 1)
             if len(body) > self._max_body:
                 response.close()
-                return _build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
+                return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
             # Reading on to the end makes urllib3 check the length: a backend
             # server that died half way shows only here.
             body += response.read()
@@ -110,8 +110,3 @@
     if request.key:
         headers["Idempotency-Key"] = request.key
     return headers
-
-
-def _build_failure(request, outcome, reason, status):
-    unused = request.budget if outcome is Outcome.NOT_RUN else 0
-    return Answer(request.attempt, outcome, reason, status=status, unused=unused)
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -288,18 +288,8 @@
         )
 
     def _refuse(self, request, decision):
-        decisions.log_decision(
-            decisions.Refused(
-                request.root,
-                request.attempt,
-                request.service,
-                request.call,
-                request.importance.name,
-                request.caller,
-                decision.reason.value,
-                decision.retry_after,
-                "gatekeeper",
-            )
+        decisions.log_refusal(
+            request, decision.reason, decision.retry_after, "gatekeeper"
         )
         answer = _build_not_run(request, decision.reason, decision.retry_after)
         if decision.reason is Reason.ABANDONED:
@@ -317,13 +307,8 @@
 
 
 def _build_not_run(request, reason, retry_after=DEFAULT_RETRY_AFTER):
-    return Answer(
-        request.attempt,
-        Outcome.NOT_RUN,
-        reason,
-        status=503,
-        unused=request.budget,
-        retry_after=retry_after,
+    return messages.build_failure(
+        request, Outcome.NOT_RUN, reason, retry_after=retry_after
     )
 
 
--- a/whinwinch/daemons/client.py
+++ b/whinwinch/daemons/client.py
@@ -11,7 +11,7 @@
 
 import grpc
 
-from ..messages import Answer, Outcome, Reason
+from ..messages import Outcome, Reason, build_failure
 from . import codec, peer_pb2_grpc
 
 # Connecting within a region takes a few round trips; an address that takes
@@ -106,9 +106,9 @@
     def _call_peer(self, peer, request, receiver):
         left = request.deadline - self._clock()
         if left <= 0:
-            return _build_failure(request, Outcome.NOT_RUN, Reason.DEADLINE)
+            return build_failure(request, Outcome.NOT_RUN, Reason.DEADLINE)
         if not peer.wait_ready(min(left, CONNECT_TIMEOUT)):
-            return _build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
+            return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
         return self._send(peer, request, receiver)
 
     def _send(self, peer, request, receiver):
@@ -123,11 +123,11 @@
                 peer.note_failure()
             return _read_error(request, error)
         except ValueError:
-            return _build_failure(request, Outcome.UNKNOWN, Reason.BROKEN)
+            return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN)
         if answer.attempt != request.attempt:
             # An answer to another attempt would hand one caller the answer of
             # another; the caller would see a stranger's data.
-            return _build_failure(request, Outcome.UNKNOWN, Reason.BROKEN)
+            return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN)
         return answer
 
     def gossip(self, address, message, timeout):
@@ -188,10 +188,4 @@
     reason = Reason.BROKEN
     if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
         reason = Reason.DEADLINE
-    return _build_failure(request, Outcome.UNKNOWN, reason)
-
-
-def _build_failure(request, outcome, reason):
-    """Return a failure; an answer that never came returns none of the budget."""
-    unused = request.budget if outcome is Outcome.NOT_RUN else 0
-    return Answer(request.attempt, outcome, reason, status=503, unused=unused)
+    return build_failure(request, Outcome.UNKNOWN, reason)
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -63,6 +63,23 @@
         logging.info("%s", format_decision(decision))
 
 
+def log_refusal(request, reason, retry_after, at):
+    """Log that a `messages.Request` is refused, at the entry or a gatekeeper."""
+    log_decision(
+        Refused(
+            request.root,
+            request.attempt,
+            request.service,
+            request.call,
+            request.importance.name,
+            request.caller,
+            reason.value,
+            retry_after,
+            at,
+        )
+    )
+
+
 def format_decision(decision):
     """Return the line for a decision.
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -163,6 +163,30 @@
     leaving: bool = False
 
 
+def build_failure(request, outcome, reason, status=503, retry_after=0.0):
+    """Return the answer to an attempt that no backend server has answered.
+
+    What was not run has caused no retries and returns its whole budget; of
+    what is unknown nothing can be returned.
+
+    Args:
+        request: The attempt.
+        outcome: NOT_RUN or UNKNOWN.
+        reason: Why.
+        status: HTTP status.
+        retry_after: Seconds after which the caller may ask again.
+    """
+    unused = request.budget if outcome is Outcome.NOT_RUN else 0
+    return Answer(
+        request.attempt,
+        outcome,
+        reason,
+        status=status,
+        unused=unused,
+        retry_after=retry_after,
+    )
+
+
 def new_identifier():
     """Return a new random identifier for a request, an attempt or a daemon."""
     return os.urandom(IDENTIFIER_BYTES).hex()
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -332,19 +332,7 @@
         )
 
     def _log_refusal(self, request, reason, retry_after):
-        decisions.log_decision(
-            decisions.Refused(
-                request.root,
-                request.attempt,
-                request.service,
-                request.call,
-                request.importance.name,
-                request.caller,
-                reason.value,
-                retry_after,
-                "entry",
-            )
-        )
+        decisions.log_refusal(request, reason, retry_after, "entry")
         return _refuse(request, reason, retry_after)
 
 
@@ -371,13 +359,8 @@
 
 
 def _refuse(request, reason, retry_after=0.0):
-    return Answer(
-        request.attempt,
-        Outcome.NOT_RUN,
-        reason,
-        status=503,
-        unused=request.budget,
-        retry_after=retry_after,
+    return messages.build_failure(
+        request, Outcome.NOT_RUN, reason, retry_after=retry_after
     )
 
 
