Hand the gate's decisions over inside its lock; compute a level once

Decisions are now delivered in the lock in which they are made; a test holds that. The entry computed the level of every call twice, needed only for refusals, and two modules had a timeout of gossip each. Run: tests of gatekeeper, router, gossip, links and input.

--- a/test/backends/test_gatekeeper.py
+++ b/test/backends/test_gatekeeper.py
@@ -249,6 +249,27 @@
         self.assertEqual(Reason.QUEUE, second.reason)
         self.assertEqual(Outcome.COMPLETED, read.outcome)
 
+    def test_a_decision_is_handed_over_in_the_lock_in_which_it_was_made(self):
+        """A slot gets free in the moment in which a wait for one ends.
+
+        The gate admits the request while its thread gives up; nobody would
+        ever leave the slot again, and the endpoint lose one slot after the
+        other.
+        """
+        deliver = self.gatekeeper._deliver
+        held = []
+
+        def note(woken):
+            held.append(self.gatekeeper._lock.locked())
+            deliver(woken)
+
+        self.gatekeeper._deliver = note
+        self.gatekeeper.serve(build_request())
+        self.gatekeeper.expire()
+        self.gatekeeper._withdraw(build_request("a2"))
+        self.install(slots=3)
+        self.assertEqual([True] * 5, held)
+
     def test_a_full_endpoint_has_no_room_until_an_answer_leaves(self):
         self.install(slots=4)
         inside = threading.Semaphore(0)
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -85,8 +85,7 @@
             if self._gate is None:
                 self._gate = gate.Gate(announcement.slots, self._clock())
                 return
-            resized = self._gate.resize(announcement.slots, self._clock())
-        self._deliver(resized)
+            self._deliver(self._gate.resize(announcement.slots, self._clock()))
 
     def has_room(self):
         """Return whether a request would be admitted without a wait."""
@@ -127,8 +126,8 @@
     def expire(self):
         """Refuse waiting requests whose time is over; called now and then."""
         with self._lock:
-            expired = self._gate.expire(self._clock()) if self._gate else ()
-        self._deliver(expired)
+            if self._gate is not None:
+                self._deliver(self._gate.expire(self._clock()))
 
     def _offer(self, request):
         """Return the gate's decision and, when it is to wait, the waiter."""
@@ -141,12 +140,11 @@
             decision = self._gate.offer(request, now)
             # A more important request may have taken the place of a waiting
             # one, which is told at once instead of when its time is over.
-            displaced = self._gate.expire(now)
+            self._deliver(self._gate.expire(now))
             waiter = None
             if decision.verdict is gate.Verdict.WAIT:
                 waiter = Waiter(threading.Event(), [])
                 self._waiters[request.attempt] = waiter
-        self._deliver(displaced)
         return decision, waiter
 
     def _refuse_for_below(self, request):
@@ -191,14 +189,17 @@
     def _withdraw(self, request):
         """Take a waiting request out of the gate, for good."""
         with self._lock:
-            woken = self._gate.withdraw(request.attempt, self._clock())
-        self._deliver(woken)
+            self._deliver(self._gate.withdraw(request.attempt, self._clock()))
 
     def _deliver(self, woken):
-        """Hand the gate's decisions to the threads that wait for them."""
+        """Hand the gate's decisions to the threads that wait for them.
+
+        Called inside the lock in which the gate decided. Outside it a thread
+        whose wait ends just then would find no decision and give up, although
+        the gate has admitted it: its slot would stay taken for ever.
+        """
         for decision in woken:
-            with self._lock:
-                waiter = self._waiters.get(decision.attempt)
+            waiter = self._waiters.get(decision.attempt)
             if waiter is not None:
                 waiter.decided.append(decision)
                 waiter.event.set()
@@ -222,7 +223,7 @@
             woken = self._gate.finish(
                 request.attempt, now, now - started if ran else None, succeeded
             )
-        self._deliver(woken)
+            self._deliver(woken)
 
     def _claim_and_run(self, request):
         if not request.key:
--- a/whinwinch/entrances.py
+++ b/whinwinch/entrances.py
@@ -20,7 +20,6 @@
 from .messages import Answer, Outcome, Reason
 from .operators import api
 
-GOSSIP_TIMEOUT = 3.0
 SECONDS_TO_COME_BACK = 1.0
 # The only daemon of its mesh is ready after this, without a member list.
 ALONE_SECONDS = 5.0
@@ -39,7 +38,7 @@
     def answer_gossip(message):
         answer = gossip.answer_gossip(talk, message)
         future = asyncio.run_coroutine_threadsafe(answer, parts.loop)
-        return future.result(GOSSIP_TIMEOUT)
+        return future.result(gossip.THREAD_TIMEOUT)
 
     servicer = peer_server.PeerServicer(
         parts.own, serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -242,9 +242,9 @@
         now = self._clock()
         with self._levels as levels:
             decision = levels.refuse(request, now)
+            if decision is None:
+                return None
             below = levels.level(request.service, request.call, now, request)
-        if decision is None:
-            return None
         refused = self._log_refusal(request, decision.reason, decision.retry_after)
         return refused._replace(load=messages.Load(below=below))
 
--- a/whinwinch/tasks.py
+++ b/whinwinch/tasks.py
@@ -11,7 +11,6 @@
 from .logservice import follower, joining, readers, snapshots, streams
 from .logservice.client import LogUnavailable
 
-GOSSIP_TIMEOUT = 3.0
 # A daemon that stops doesn't wait longer than this for the log.
 GOODBYE_SECONDS = 1.0
 
@@ -22,7 +21,7 @@
     async def send(address, message):
         try:
             return await asyncio.to_thread(
-                parts.peers.gossip, address, message, GOSSIP_TIMEOUT
+                parts.peers.gossip, address, message, gossip.THREAD_TIMEOUT
             )
         except grpc.RpcError as error:
             raise gossip.SendError(f"{address}: {error.code()}") from error
