Take a request whose time is over for a result, never for an exception

Cause: the stand-in caller handed `until - now` to urllib3 after it had gone negative; the thread died and its traceback stood among the results, which the demo then read as JSON. Ruled out: the daemons; they check the time left before each send (gatekeeper, peer client, router), and none hands it on unchecked.

A request whose deadline has passed is a result now, a thread that dies is reported by name with exit 2, results have a file of their own. The demo says when the machine was the limit, and its verdict hangs on promises alone.

--- a/demo/report.py
+++ b/demo/report.py
@@ -15,6 +15,9 @@
 # A caller that sends later than this after the due time was short of threads,
 # and the load was less than meant.
 LATE = 0.25
+# Above this share of late sends the table shows the machine, not the mesh: on an
+# idle machine of 8 cores hardly any is late, beside other work half of them were.
+MACHINE_BOUND = 0.05
 # A fault or two among the few most important requests is no upset order.
 SLACK = 0.02
 
@@ -87,6 +90,11 @@
     ]
     if late:
         lines.append(f"  sent more than {LATE} s late, for want of threads: {late}")
+    if late > MACHINE_BOUND * len(results):
+        lines.append(
+            "  this machine was the limit, not the mesh: of this phase only the "
+            "promises below say anything"
+        )
     return lines
 
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -183,7 +183,13 @@
         running.start(
             f"caller-{phase.name}-{part}",
             "standins.caller",
-            [*flags, "--part", f"{part}/{CALLERS}"],
+            [
+                *flags,
+                "--part",
+                f"{part}/{CALLERS}",
+                "--results",
+                running.directory / f"caller-{phase.name}-{part}.results",
+            ],
         )
         for part in range(CALLERS)
     ]
@@ -191,7 +197,7 @@
     results = [
         caller.read_result(line)
         for process in callers
-        for line in (running.directory / f"{process.name}.log").open()
+        for line in (running.directory / f"{process.name}.results").open()
     ]
     check_count(results, phase)
     return results
@@ -218,7 +224,8 @@
 def measure_chain(nodes):
     """Return the seconds of each chain without daemons, and through them.
 
-    The two take turns, so that what else the machine does meets both alike.
+    The two take turns, so that what else the machine does meets both alike. A
+    turn that fails is left out: on a busy machine it says nothing of the promises.
     """
     catalogs = [node for node in nodes if node.service.name == "catalog"]
     backends = [node.backend_url for node in catalogs]
@@ -226,11 +233,12 @@
     ways = (sender.build_sender(backends, direct=True), sender.build_sender(entries))
     seconds = ([], [])
     for turn in range(WARM_UP + CHAINS):
-        for send, taken in zip(ways, seconds, strict=True):
-            sent = send(CHAIN)
-            if not sent.succeeded:
-                raise processes.NotReady(f"the chain to compare failed: {sent}")
-            if turn >= WARM_UP:
+        pair = [send(CHAIN) for send in ways]
+        failed = [sent for sent in pair if not sent.succeeded]
+        if failed:
+            say(f"  turn {turn} is left out, the chain failed: {failed[0]}")
+        elif turn >= WARM_UP:
+            for taken, sent in zip(seconds, pair, strict=True):
                 taken.append(sent.latency)
     return seconds
 
--- a/test/standins/test_caller.py
+++ b/test/standins/test_caller.py
@@ -1,7 +1,13 @@
 """Tests of the stand-in caller, against stand-in backend servers."""
 
+import contextlib
+import io
+import pathlib
 import random
+import tempfile
+import time
 import unittest
+import unittest.mock
 import uuid
 
 from standins import backend, caller, sender, serving, trace
@@ -66,6 +72,73 @@
         self.assertEqual(outcomes, ["unknown", "unknown", "completed"])
         self.assertEqual(load.report_runs()["keys"], {key: 3})
 
+    def test_deadline_passes_between_two_askings(self):
+        """The machine is busy and a pause lasts longer than was asked for.
+
+        The deadline is over by then. A caller that asked with a negative time
+        would die, and its traceback would stand among the results.
+        """
+        given = []
+
+        def send(request, key, timeout):
+            given.append(timeout)
+            return sender.Sent("r", "not-run", "queue-full", 503, 0.05)
+
+        class Draw:
+            def uniform(self, low, high):
+                return 0.0
+
+        request = REQUEST._replace(timeout=0.12)
+        with unittest.mock.patch.object(
+            caller.time, "sleep", lambda _, sleep=time.sleep: sleep(0.2)
+        ):
+            _, sent = caller.ask(send, request, caller.Retry.HARD, Draw())
+        self.assertEqual([each.outcome for each in sent], ["not-run"])
+        self.assertTrue(all(timeout > 0 for timeout in given))
+
+    def test_time_is_over_before_the_first_asking(self):
+        """A request waits for a thread until its time is over: it was not run."""
+        request = REQUEST._replace(timeout=0.0)
+        _, sent = caller.ask(None, request, caller.Retry.HARD, random.Random(1))
+        self.assertEqual([each.outcome for each in sent], ["not-run"])
+        self.assertEqual(sent[0].reason, "deadline")
+
+    def test_thread_that_dies_is_reported(self):
+        """A thread of the caller raises; its request has no result.
+
+        Left alone, the results would be one short without a word of why.
+        """
+
+        def send(request, key, timeout):
+            raise RuntimeError("no route")
+
+        with self.assertRaises(ExceptionGroup) as caught:
+            caller.play([REQUEST], send, caller.Retry.NONE, 1)
+        (error,) = caught.exception.exceptions
+        self.assertEqual(str(error), "no route")
+        self.assertEqual(error.__notes__, ["in caller thread 0"])
+
+    def test_command_ends_with_2_and_keeps_results_apart(self):
+        """A thread of the caller raises in the demo.
+
+        Its traceback must not stand where results are read.
+        """
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            (path / "trace").write_text("".join(trace.write_trace([REQUEST])))
+            arguments = ["--trace", str(path / "trace"), "--entries", "http://x"]
+            arguments += ["--results", str(path / "results")]
+            error = io.StringIO()
+            with (
+                unittest.mock.patch.object(
+                    caller.sender, "find_target", side_effect=RuntimeError("boom")
+                ),
+                contextlib.redirect_stderr(error),
+            ):
+                self.assertEqual(caller.main(arguments), caller.EXIT_FAILED)
+            self.assertIn("boom", error.getvalue())
+            self.assertEqual((path / "results").read_text(), "")
+
     def test_nobody_there(self):
         url, _ = self.start()
         self.doCleanups()
--- a/test/standins/test_demo.py
+++ b/test/standins/test_demo.py
@@ -57,6 +57,21 @@
         self.assertEqual(report.judge_result(result), "unknown")
 
 
+class MachineTest(unittest.TestCase):
+    def note(self, late):
+        result = form_result(form_sent("a", "completed", whole=True))
+        results = [result] * (100 - late) + [result._replace(late=1.0)] * late
+        return "\n".join(report.form_notes(results))
+
+    def test_busy_machine_is_named(self):
+        """Other work holds the processors, so callers send late.
+
+        The table then shows low goodput that no daemon is to blame for.
+        """
+        self.assertIn("this machine was the limit", self.note(6))
+        self.assertNotIn("this machine was the limit", self.note(5))
+
+
 class OrderTest(unittest.TestCase):
     def list_upset(self, *outcomes):
         results = [
