Tell admission levels over connections; learn which calls belong to which requests

Ruled out: too little queue at the gatekeepers (waits of 75 to 300 ms change little in the emulator).

Calls are matched to their request by deadline, routes that callers use are told from inner ones, levels are told every 0.1 s. Own availability zone first. An emulator of a small mesh runs the whole path without the kit.

--- /dev/null
+++ b/emulator/backend.py
@@ -0,0 +1,229 @@
+"""A stand-in for a backend server on the platform, and its faults on command."""
+
+import asyncio
+import json
+import random
+from typing import NamedTuple
+
+from whinwinch.http1 import client
+from whinwinch.http1.messages import (
+    HttpRequest,
+    HttpResponse,
+    find_header,
+    format_request,
+)
+from whinwinch.http1.server import Limits, Server
+
+HEARTBEAT_SECONDS = 1.5
+
+
+class Work(NamedTuple):
+    """What a backend server does for a request of one path prefix.
+
+    Attributes:
+        seconds: Mean time that it works.
+        calls: Pairs of host and path that it calls, one after the other.
+        size: Bytes of the answer.
+        spread: Share of the mean by which the time varies.
+    """
+
+    seconds: float
+    calls: tuple[tuple[str, str], ...] = ()
+    size: int = 400
+    spread: float = 0.3
+
+
+class Faults(NamedTuple):
+    """What it does wrong until told otherwise.
+
+    Attributes:
+        shed: Share of requests that it turns down though it has room.
+        fail: Share of requests that end with 500.
+        lose: Share of requests that are run and not answered.
+        cut: Share of answers that are cut short.
+        extra: Share of requests after whose answer a second one comes.
+        slower: Factor on the time that it works.
+    """
+
+    shed: float = 0.0
+    fail: float = 0.0
+    lose: float = 0.0
+    cut: float = 0.0
+    extra: float = 0.0
+    slower: float = 1.0
+
+
+class Run(NamedTuple):
+    """One request that was begun: its id, method, target, body and caller."""
+
+    request: str
+    method: str
+    target: str
+    body: bytes
+    caller: str
+
+
+class Backend:
+    """One backend server.
+
+    Args:
+        identity: Its identifier.
+        service: Its service.
+        slots: Requests that it works on at once.
+        works: `Work` by path prefix.
+        place: Where it calls others, an "IP:PORT".
+        announce: Where it announces itself, an "IP:PORT".
+    """
+
+    def __init__(self, identity, service, slots, works, place, announce, seed=0):
+        self.identity = identity
+        self.service = service
+        self.slots = slots
+        self.works = works
+        self.faults = Faults()
+        self.state = "ready"
+        self.runs = []
+        self.ends = []
+        self.busy = 0
+        self.waiting = 0
+        self.address = ""
+        self.born = 1_000
+        self._free = asyncio.Semaphore(slots)
+        self._random = random.Random(seed)
+        self._pools = {}
+        self._outbound = place
+        self._control = announce
+        self._sequence = 0
+        self.server = Server(self._answer, Limits())
+
+    async def listen(self, host="127.0.0.1", port=0):
+        """Serve; return the port."""
+        port = await self.server.listen(host, port)
+        self.address = f"{host}:{port}"
+        return port
+
+    async def announce(self):
+        """Send one heartbeat; return the status of its answer."""
+        self._sequence += 1
+        beat = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "warmup_left": "0ms",
+            "seq": self._sequence,
+            "born": self.born,
+        }
+        return await self.tell("PUT", json.dumps(beat).encode())
+
+    async def leave(self):
+        """Say that it is gone; return the status of the answer."""
+        return await self.tell("DELETE", b"")
+
+    async def tell(self, method, body):
+        """Send a message to the daemon; return its status, 0 for none."""
+        target = f"/whinwinch/instances/{self.identity}"
+        request = HttpRequest(method, target, body=body)
+        pool = self._find_pool(self._control)
+        try:
+            async with asyncio.timeout(1.0):
+                answer = await pool.exchange(format_request(request, self._control))
+        except (client.NotSentError, client.BrokenError, TimeoutError):
+            return 0
+        return answer.status
+
+    async def keep_announcing(self):
+        """Send heartbeats for ever."""
+        while True:
+            await self.announce()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def _find_pool(self, address):
+        if address not in self._pools:
+            host, _, port = address.rpartition(":")
+            self._pools[address] = client.Pool(host, int(port), 1 << 20)
+        return self._pools[address]
+
+    async def _answer(self, http, peer):
+        if http.target.startswith("/healthz"):
+            status = 200 if self.state == "ready" else 503
+            return HttpResponse(status, "Health", (("X-Instance-Id", self.identity),))
+        expected = find_header(http.headers, "x-expected-instance")
+        request = find_header(http.headers, "x-request-id")
+        if expected and expected != self.identity:
+            return HttpResponse(
+                421, "Misdirected Request", (("X-Instance-Id", self.identity),)
+            )
+        if not request:
+            return self._turn_down(request, 400)
+        if self._draw(self.faults.shed) or self.waiting > 2 * self.slots:
+            return self._turn_down(request, 503)
+        deadline = float(find_header(http.headers, "x-deadline-ms") or 1e6) / 1000
+        deadline += asyncio.get_running_loop().time()
+        self.waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.waiting -= 1
+        self.busy += 1
+        try:
+            return await self._run(http, request, deadline)
+        finally:
+            self.busy -= 1
+            self._free.release()
+
+    async def _run(self, http, request, deadline):
+        caller = find_header(http.headers, "x-caller-service")
+        self.runs.append(Run(request, http.method, http.target, http.body, caller))
+        work = self._find_work(http.target)
+        seconds = work.seconds * self.faults.slower
+        spread = self._random.uniform(1 - work.spread, 1 + work.spread)
+        await asyncio.sleep(seconds * spread)
+        for host, path in work.calls:
+            if not await self._call(host, path, deadline):
+                return self._seal(request, 500, "Call Failed", b"")
+        self.ends.append(request)
+        if self._draw(self.faults.lose):
+            raise ConnectionAbortedError("the answer is lost")
+        if self._draw(self.faults.fail):
+            return self._seal(request, 500, "Error", b"")
+        return self._seal(request, 200, "OK", request.encode().ljust(work.size, b"."))
+
+    async def _call(self, host, path, deadline):
+        left = deadline - asyncio.get_running_loop().time()
+        identity = f"call-{self._random.getrandbits(60):x}"
+        headers = (
+            ("X-Request-Id", identity),
+            ("X-Deadline-Ms", str(max(1, int(left * 1000)))),
+        )
+        request = HttpRequest("GET", path, headers)
+        pool = self._find_pool(self._outbound)
+        try:
+            answer = await pool.exchange(format_request(request, host))
+        except (client.NotSentError, client.BrokenError):
+            return False
+        return answer.status == 200
+
+    def _find_work(self, target):
+        for prefix, work in self.works.items():
+            if target.startswith(prefix):
+                return work
+        raise KeyError(target)
+
+    def _turn_down(self, request, status):
+        headers = (("X-Not-Executed", "1"), ("X-Request-Id", request))
+        return HttpResponse(status, "Turned Down", headers)
+
+    def _seal(self, request, status, phrase, body):
+        load = f"{self.busy},{self.waiting},{self.slots}"
+        headers = (
+            ("X-Request-Id", request),
+            ("X-Response-Seal", f"seal.{self.identity}.{request}"),
+            ("X-Server-Load", load),
+        )
+        return HttpResponse(status, phrase, headers, body)
+
+    def _draw(self, share):
+        return share > 0.0 and self._random.random() < share
--- /dev/null
+++ b/emulator/caller.py
@@ -0,0 +1,107 @@
+"""A stand-in for the platform's callers."""
+
+import asyncio
+import itertools
+from typing import NamedTuple
+
+from whinwinch.http1 import client
+from whinwinch.http1.messages import HttpRequest, find_header, format_request
+
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+_NUMBERS = itertools.count(1)
+
+
+class Kind(NamedTuple):
+    """One kind of request.
+
+    Attributes:
+        host: Host that it names.
+        path: Path.
+        method: Method.
+        deadline: Seconds that the caller waits.
+        objective: Seconds within which an answer is worth all.
+        worth: What it is worth.
+        body: Body.
+        retries: Times that the caller asks again.
+        patient: Whether it waits as it is told to.
+    """
+
+    host: str
+    path: str
+    method: str = "GET"
+    deadline: float = 5.0
+    objective: float = 1.0
+    worth: float = 1.0
+    body: bytes = b""
+    retries: int = 1
+    patient: bool = True
+
+
+class Told(NamedTuple):
+    """What a caller was told in the end.
+
+    Attributes:
+        requests: Identifiers of the times it asked, in their order.
+        statuses: Status of each; 0 for no whole answer.
+        seconds: Time from the first asking to the last answer.
+        whole: Whether the last answer is a success and whole.
+        retry_after: What the last answer said of coming back, in seconds.
+    """
+
+    requests: tuple[str, ...]
+    statuses: tuple[int, ...]
+    seconds: float
+    whole: bool
+    retry_after: float
+
+
+async def ask(address, kind):
+    """Ask a daemon, and again as the platform's callers do; return what was told.
+
+    Args:
+        address: "IP:PORT" of the daemon.
+        kind: `Kind`.
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    until = began + kind.deadline
+    requests, statuses = [], []
+    while True:
+        request, status, answer = await ask_once(address, kind, until)
+        requests.append(request)
+        statuses.append(status)
+        whole = status == 200 and answer.body.startswith(request.encode())
+        pause = float(find_header(answer.headers, "retry-after") or 0) if answer else 0
+        told = Told(tuple(requests), tuple(statuses), loop.time() - began, whole, pause)
+        if status == 200 or len(requests) > kind.retries:
+            return told
+        if kind.method != "GET" and status not in PROMISES:
+            return told
+        left = until - loop.time()
+        if left <= 0.02:
+            return told
+        await asyncio.sleep(min(pause, left / 3) if kind.patient else 0.0)
+
+
+async def ask_once(address, kind, until):
+    """Ask once over a new connection; return id, status and answer."""
+    loop = asyncio.get_running_loop()
+    request = f"ask-{next(_NUMBERS):x}"
+    left = until - loop.time()
+    headers = (
+        ("X-Request-Id", request),
+        ("X-Deadline-Ms", str(max(1, int(left * 1000)))),
+        ("X-Caller-Service", "forged"),
+    )
+    http = HttpRequest(kind.method, kind.path, headers, kind.body)
+    host, _, port = address.rpartition(":")
+    pool = client.Pool(host, int(port), 1 << 20)
+    try:
+        async with asyncio.timeout(left):
+            answer = await pool.exchange(format_request(http, kind.host))
+    except (client.NotSentError, client.BrokenError, TimeoutError):
+        return request, 0, None
+    finally:
+        pool.close()
+    return request, answer.status, answer
--- /dev/null
+++ b/emulator/mesh.py
@@ -0,0 +1,149 @@
+"""A whole mesh on the platform: a store, and daemons with their backend servers."""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+from standins import processes
+from whinwinch.platform.node import Node
+from whinwinch.platform.settings import InstanceSettings
+from whinwinch.settings import Address
+
+from . import backend, store
+
+LOCAL = "127.0.0.1"
+
+
+class Service(NamedTuple):
+    """One service of a mesh.
+
+    Attributes:
+        name: Its name.
+        endpoints: Backend servers of it, one in each availability zone in turn.
+        slots: Requests that each works on at once.
+        works: `backend.Work` by path prefix.
+    """
+
+    name: str
+    endpoints: int
+    slots: int
+    works: dict
+
+
+class Member(NamedTuple):
+    """One instance: its daemon, its backend server, where callers ask."""
+
+    node: Node
+    backend: backend.Backend
+    callers: str
+
+
+class Mesh:
+    """Builds and runs a mesh in this process, each daemon on its own ports.
+
+    Args:
+        services: `Service` tuples.
+        configuration: Table as the operator writes it.
+        zones: Availability zones.
+    """
+
+    def __init__(self, services, configuration, zones=("a", "b")):
+        self._services = services
+        self._configuration = configuration
+        self._zones = zones
+        self._tasks = []
+        self.store = store.Store()
+        self.members = []
+
+    async def __aenter__(self):
+        self._store_port = await self.store.listen()
+        self.configure(self._configuration)
+        for service in self._services:
+            for number in range(service.endpoints):
+                await self.add(service, self._zones[number % len(self._zones)])
+        await self.wait_until(self.is_complete)
+        return self
+
+    async def __aexit__(self, *_):
+        for member in self.members:
+            member.node.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def configure(self, configuration):
+        """Write a configuration as the operator does."""
+        value = json.dumps(configuration).encode()
+        self.store.put("keyed.op", "config", value)
+
+    async def add(self, service, zone):
+        """Start an instance and return its `Member`."""
+        number = len(self.members)
+        ports = find_ports(4)
+        callers, control = f"{LOCAL}:{ports[0]}", f"{LOCAL}:{ports[3]}"
+        own = backend.Backend(
+            f"i-{service.name}-{number}",
+            service.name,
+            service.slots,
+            service.works,
+            callers,
+            control,
+            number,
+        )
+        port = await own.listen()
+        given = InstanceSettings(
+            instance=f"instance-{number}",
+            zone=zone,
+            region="r",
+            service=service.name,
+            backend=Address(LOCAL, port),
+            callers=Address(LOCAL, ports[0]),
+            daemons=Address(LOCAL, ports[1]),
+            readiness=Address(LOCAL, ports[2]),
+            announcements=Address(LOCAL, ports[3]),
+            store=Address(LOCAL, self._store_port),
+            repeat_ratio=0.2,
+            drain=2.0,
+            stop_grace=0.5,
+        )
+        node = Node(given)
+        await node.listen()
+        self._start(node.serve())
+        self._start(own.keep_announcing())
+        member = Member(node, own, callers)
+        self.members.append(member)
+        return member
+
+    def find(self, service):
+        """Return the members of a service."""
+        return [m for m in self.members if m.backend.service == service]
+
+    def is_complete(self):
+        """Whether every daemon knows all endpoints and the configuration."""
+        return all(
+            member.node.instance.table.version
+            and all(
+                len(member.node.instance.directory.find_endpoints(service.name))
+                == len(self.find(service.name))
+                for service in self._services
+            )
+            for member in self.members
+        )
+
+    async def wait_until(self, condition, seconds=10.0):
+        """Wait until a condition holds.
+
+        Raises:
+            TimeoutError: When it doesn't in time.
+        """
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def _start(self, work):
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+
+def find_ports(count):
+    """Return free ports of the loopback address, all different."""
+    return processes.find_ports(count)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -13,7 +13,7 @@
 
 from absl import logging
 
-from .. import decisions, gate, messages, repeats
+from .. import callgraph, decisions, gate, messages, repeats
 from ..http1 import client
 from ..messages import Outcome, Reason, build_failure
 
@@ -23,6 +23,8 @@
 # When a caller whose attempt was turned down for want of a backend server may
 # come back: a daemon that has just started hears of it within a heartbeat.
 ABSENT_RETRY_AFTER = 0.3
+# Requests name no caller here, and their paths tell kinds of request, not keys.
+NO_SHARES = ()
 # Largest answer taken from a backend server, in bytes.
 MOST_BODY = 16 << 20
 
@@ -69,14 +71,16 @@
         repeat_ratio: Repeats allowed for each first request.
         find_wait: Function from a request to the seconds that it may wait for a
             slot.
+        watch: `callgraph.CallGraph` that is told what runs.
     """
 
-    def __init__(self, address, dialect, repeat_ratio, find_wait):
+    def __init__(self, address, dialect, repeat_ratio, find_wait, watch):
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
         self._pool = client.Pool(address.host, address.port, MOST_BODY)
         self._repeats = repeats.RepeatBudget(repeat_ratio)
         self._find_wait = find_wait
+        self._watch = watch
         self._gate = None
         self._waiting = {}
         self._detached = set()
@@ -99,7 +103,7 @@
         if before is None or before.identity != backend.identity:
             # Kept connections lead to the one before.
             self._pool.close()
-            self._gate = gate.Gate(backend.slots, now)
+            self._gate = gate.Gate(backend.slots, now, NO_SHARES)
         elif before.slots != backend.slots:
             self._deliver(self._gate.resize(backend.slots, now))
 
@@ -116,6 +120,12 @@
             return messages.Load()
         return self._gate.load(self._loop.time(), request)
 
+    def find_level(self, route):
+        """Return the admission level that requests of a route meet here."""
+        if self.backend is None or self._find_obstacle(self.backend.service):
+            return 0.0
+        return self._gate.find_level(route, self._loop.time())
+
     async def serve(self, request):
         """Serve one attempt and return its answer."""
         obstacle = self._find_obstacle(request.service)
@@ -227,13 +237,20 @@
     async def _run(self, request):
         started = self._loop.time()
         self.running += 1
+        self._watch.start(
+            request.attempt,
+            callgraph.Running(
+                request.call, request.root, request.importance, request.deadline
+            ),
+        )
         answer = None
         try:
             answer = await self._forward(request)
         finally:
             self.running -= 1
+            self._watch.end(request.attempt)
             self._leave(request, answer, started)
-        return answer._replace(load=self.load(request)._replace(below=0.0))
+        return answer._replace(load=self.load(request))
 
     def _leave(self, request, answer, started):
         """Free the slot, and count the service time where it tells something."""
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -129,8 +129,13 @@
     def tell(self, news):
         """Tell all connected daemons what the backend server is from now on."""
         self.news = news
+        self.tell_all(news)
+
+    def tell_all(self, frame):
+        """Send a message to all connected daemons."""
+        data = frames.encode_frame(frame)
         for session in self.sessions:
-            session.send(news)
+            session.transport.write(data)
 
     def find_caller(self, daemon):
         """Return what is remembered of one start of another daemon."""
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -76,13 +76,25 @@
     Attributes:
         endpoint: The backend server; without a service while none is known.
         version: Version of the configuration in force at the sender.
+        entries: Names of the routes that callers are known to use.
     """
 
     endpoint: messages.Endpoint
     version: int
+    entries: tuple[str, ...] = ()
 
 
-KINDS = (Hello, Call, Reply, Cancel, Ping, Pong, News)
+class Levels(NamedTuple):
+    """Admission levels of the routes that the sender's backend server serves.
+
+    Attributes:
+        levels: Pairs of a route's name and its level; 0 is left out.
+    """
+
+    levels: tuple[tuple[str, float], ...]
+
+
+KINDS = (Hello, Call, Reply, Cancel, Ping, Pong, News, Levels)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 _REASONS = tuple(messages.Reason)
 _REASON_NUMBERS = {reason: number for number, reason in enumerate(_REASONS)}
@@ -159,6 +171,6 @@
         )
         return Reply(number, answer)
     if kind is News:
-        endpoint, version = fields
-        return News(messages.Endpoint(*endpoint), version)
+        endpoint, version, entries = fields
+        return News(messages.Endpoint(*endpoint), version, entries)
     return kind(*fields)
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -91,7 +91,8 @@
     Args:
         address: "host:port" at which it takes calls.
         hello: `frames.Hello` of this daemon.
-        take_news: Function that is told the address and `frames.News` of it.
+        take_news: Function that is told the address, and `frames.News` or
+            `frames.Levels` of it.
     """
 
     def __init__(self, address, hello, take_news):
@@ -153,7 +154,7 @@
             self._settle(frame)
         elif isinstance(frame, frames.Hello):
             self._greet(link, frame)
-        elif isinstance(frame, frames.News):
+        elif isinstance(frame, (frames.News, frames.Levels)):
             self._take_news(self.address, frame)
         elif isinstance(frame, frames.Ping):
             link.send(frames.Pong(frame.number))
@@ -287,7 +288,8 @@
 
     Args:
         hello: `frames.Hello` of this daemon.
-        take_news: Function that is told an address and its `frames.News`.
+        take_news: Function that is told an address, and its `frames.News` or
+            `frames.Levels`.
     """
 
     def __init__(self, hello, take_news):
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -16,6 +16,7 @@
 
 from . import admission
 
+DIMENSIONS = ("caller", "path")
 FORGET_SECONDS = 2.0
 REGROUP_SECONDS = 0.1
 MOST_FLOWS = 256
@@ -82,10 +83,17 @@
 
 
 class Shares:
-    """Demand and admission level of each group of callers or keys."""
+    """Demand and admission level of each group of callers or keys.
 
-    def __init__(self, now):
-        self._flows = {"caller": Flows(now), "path": Flows(now)}
+    Args:
+        now: Time at the start, in seconds of the loop's clock.
+        dimensions: Along which flows are told apart: those of `DIMENSIONS` that
+            mean something. Where a path names a kind of request, shares by path
+            would put kinds of unequal importance side by side.
+    """
+
+    def __init__(self, now, dimensions=DIMENSIONS):
+        self._flows = {dimension: Flows(now) for dimension in dimensions}
         self._dimension = "caller"
         self._rest = admission.Demand(now)
         self._hot = {}
@@ -95,17 +103,20 @@
 
     def record(self, request, rank, now):
         """Count the arrival of a request."""
-        name = name_flow(request, self._dimension)
-        demand = self._hot.get(name, self._rest)
+        demand = self._rest
+        if self._hot:
+            demand = self._hot.get(name_flow(request, self._dimension), demand)
         weight = demand.record(rank, now)
         if weight > 0.0:
             for dimension, flows in self._flows.items():
                 flows.record(name_flow(request, dimension), weight)
-        if now - self._regrouped > REGROUP_SECONDS:
+        if self._flows and now - self._regrouped > REGROUP_SECONDS:
             self._regroup(now)
 
     def level(self, request):
         """Return the admission level for the flow of a request."""
+        if not self._levels:
+            return self.rest_level
         name = name_flow(request, self._dimension)
         return self._levels.get(name, self.rest_level)
 
@@ -135,7 +146,8 @@
             now: Time of the loop's clock.
         """
         names = list(self._hot)
-        others = max(1, len(self._flows[self._dimension]) - len(names))
+        flows = self._flows.get(self._dimension, ())
+        others = max(1, len(flows) - len(names))
         groups = [(self._rest.rates(now), others)]
         groups += [(self._hot[name].rates(now), 1) for name in names]
         levels = admission.find_levels(groups, capacity, corrections)
@@ -154,12 +166,13 @@
         # One dimension at a time: cutting the same excess along both would
         # refuse more than the excess.
         sums = {dimension: sum(shares.values()) for dimension, shares in hot.items()}
-        chosen = "path" if sums["path"] > 1.2 * sums["caller"] else "caller"
+        path, caller = (sums.get(dimension, 0.0) for dimension in ("path", "caller"))
+        chosen = "path" if path > 1.2 * caller else "caller"
         if chosen != self._dimension:
             self._keep(frozenset(), now)
             self._dimension = chosen
-        self._keep(frozenset(hot[chosen]), now)
-        for name, share in hot[chosen].items():
+        self._keep(frozenset(hot.get(chosen, ())), now)
+        for name, share in hot.get(chosen, {}).items():
             if name not in self._hot:
                 self._hot[name] = self._rest.split(share, now)
                 self._levels[name] = self.rest_level
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -26,17 +26,17 @@
         peers: `daemons.links.Peers`.
         guard: `backends.guard.Guard` of the own backend server.
         placement: `placement.Placement`.
-        levels: `levels.Levels`.
+        board: `levels.Board`.
     """
 
-    def __init__(self, own, directory, peers, guard, placement, levels):
+    def __init__(self, own, directory, peers, guard, placement, board):
         self._loop = asyncio.get_running_loop()
         self._own = own
         self._directory = directory
         self._peers = peers
         self._guard = guard
         self._placement = placement
-        self._levels = levels
+        self._board = board
 
     async def serve(self, request, most_endpoints):
         """Serve a request and return its answer.
@@ -47,7 +47,9 @@
         """
         tried, offered, tries = set(), 0, 0
         while True:
-            refused = self._refuse_by_level(request)
+            # A call from inside belongs to a request that was let in: refused
+            # here, all that has been done for it would be lost.
+            refused = None if request.via else self._refuse_by_level(request)
             if refused is not None:
                 return refused
             choice = self._choose(request, tried)
@@ -61,6 +63,8 @@
             answer = await self._send(attempt, choice)
             offered += answer.offered or answer.outcome is Outcome.UNKNOWN
             tries += 1
+            if answer.outcome is Outcome.COMPLETED:
+                return answer
             open_endpoints = self._count_open(request.service, tried)
             remaining = min(open_endpoints, most_endpoints - offered)
             decision = retries.decide_retry(
@@ -76,31 +80,31 @@
         """Choose an endpoint; the own one while it has room, to save a hop."""
         own = self._own
         endpoints = self._find_usable(request.service)
-        for endpoint in endpoints:
-            if endpoint.address == own and own not in tried:
-                if self._guard.has_room(request.service):
+        if own not in tried and self._guard.has_room(request.service):
+            for endpoint in endpoints:
+                if endpoint.address == own:
                     return Choice(endpoint, "own endpoint has room")
         now = self._loop.time()
-        return self._placement.choose(request, endpoints, now, frozenset(tried))
+        return self._placement.choose(request, endpoints, now, tried)
 
     def _find_usable(self, service):
-        """Return the endpoints whose daemons can be reached, as far as is known."""
-        listed = self._directory.find_endpoints(service)
-        usable = [
-            endpoint
-            for endpoint in listed
-            if endpoint.address == self._own
-            or self._peers.find(endpoint.address).is_worth_trying
-        ]
-        for endpoint in listed:
-            if endpoint.address != self._own:
-                self._peers.find(endpoint.address).connect()
-        up = [
-            endpoint
-            for endpoint in usable
-            if endpoint.address == self._own or self._peers.find(endpoint.address).is_up
-        ]
-        return up or usable
+        """Return the endpoints whose daemons can be reached, as far as is known.
+
+        Those that are connected; where there is none, those worth trying.
+        """
+        connected, untried = [], []
+        for endpoint in self._directory.find_endpoints(service):
+            address = endpoint.address
+            if address == self._own:
+                connected.append(endpoint)
+                continue
+            peer = self._peers.find(address)
+            if peer.is_up:
+                connected.append(endpoint)
+            elif peer.is_worth_trying:
+                untried.append(endpoint)
+                peer.connect()
+        return connected or untried
 
     def _count_open(self, service, tried):
         usable = self._find_usable(service)
@@ -108,9 +112,8 @@
 
     def _refuse_by_level(self, request):
         now = self._loop.time()
-        level = self._levels.level(request.service, request.call, now)
-        if level <= 0.0:
-            return None
+        endpoints = self._directory.find_endpoints(request.service)
+        level = self._board.level(request.call, endpoints, now)
         decision = refuse_below(request, level)
         if decision is None:
             return None
@@ -135,8 +138,6 @@
         self._placement.observe(
             endpoint.daemon, answer, ended - started, ended, attempt
         )
-        if answer.load.limit > 0:
-            self._levels.learn(attempt.service, attempt.call, answer.load, ended)
         return answer
 
     def _refuse(self, request, reason, retry_after):
@@ -144,9 +145,7 @@
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
     def _log_answer(self, attempt, answer, choice, decision):
-        """Log what was decided after an answer; a whole one asks no decision."""
-        if answer.outcome is Outcome.COMPLETED and not answer.deeper:
-            return
+        """Log what was decided after an answer that isn't whole."""
         decisions.log_decision(
             decisions.Answered(
                 attempt.root,
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -65,9 +65,9 @@
 class Lane:
     """Short or long jobs: their queue, demand, levels and service time."""
 
-    def __init__(self, now):
+    def __init__(self, now, dimensions):
         self.queue = waiting.Queue()
-        self.shares = fairness.Shares(now)
+        self.shares = fairness.Shares(now, dimensions)
         self.in_service = 0
         self.capacity = 0.0
         self.factor = 1.0
@@ -148,13 +148,14 @@
     Args:
         slots: Requests that the backend server says it can work on at once.
         now: Time at the start, in seconds of the loop's clock.
+        dimensions: Along which callers get shares, as `fairness.Shares` says.
     """
 
-    def __init__(self, slots, now=0.0):
+    def __init__(self, slots, now=0.0, dimensions=fairness.DIMENSIONS):
         self._limit = admission.Limit(max(1, slots))
         self._durations = fairness.Durations()
-        self._short = Lane(now)
-        self._long = Lane(now)
+        self._short = Lane(now, dimensions)
+        self._long = Lane(now, dimensions)
         self._running = {}
         self._controlled = now
         self._short_busy = 0.0
@@ -273,6 +274,11 @@
             limit=self._limit.value,
         )
 
+    def find_level(self, kind, now):
+        """Return the admission level of a kind of job, as all callers meet it."""
+        self._control(now)
+        return self._choose_lane(kind, now).shares.rest_level
+
     def resize(self, slots, now):
         """Take a newly announced number of slots."""
         self._limit.resize(max(1, slots))
--- a/whinwinch/http1/messages.py
+++ b/whinwinch/http1/messages.py
@@ -60,8 +60,9 @@
 
 def find_header(headers, name):
     """Return the value of the first header of a lower-case name, or ""."""
+    size = len(name)
     for key, value in headers:
-        if key.lower() == name:
+        if len(key) == size and key.lower() == name:
             return value
     return ""
 
@@ -75,14 +76,11 @@
         headers: Pairs of name and value.
         names: Further lower-case names to leave out.
     """
-    listed = frozenset(
-        part.strip().lower()
-        for key, value in headers
-        if key.lower() == "connection"
-        for part in value.split(",")
-    )
-    dropped = CONNECTION_HEADERS | names | listed
-    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+    dropped = CONNECTION_HEADERS | names if names else CONNECTION_HEADERS
+    listed = find_header(headers, "connection").lower()
+    if listed and listed not in ("close", "keep-alive"):
+        dropped |= {part.strip() for part in listed.split(",")}
+    return tuple([pair for pair in headers if pair[0].lower() not in dropped])
 
 
 def format_request(request, host):
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -9,19 +9,24 @@
 import random
 from typing import NamedTuple
 
-from . import directory, events, messages, routes
+from . import callgraph, directory, events, messages, routes
 from .backends.guard import Backend, Guard
 from .daemons import exchange, frames, links
 from .forwarding import Forwarder
-from .levels import Levels
+from .levels import Board
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 
 # Share of a route's objective that a request may wait for a slot. Longer, and
 # callers are told late what could have been said at once.
 WAIT_SHARE = 0.25
+# A call from inside may wait longer: refused, the whole request is lost.
+NESTED_WAIT_SHARE = 0.25
 # Where a route states no objective.
 USUAL_OBJECTIVE = 1.0
+# Between two tellings of levels. Four hops add up to two of these at the mean; a
+# telling costs 20 us and is left out while nothing is refused.
+TELL_SECONDS = 0.1
 # After the signal callers need about two seconds to be sent elsewhere; until
 # then each is served, and told to open its next connection to another daemon.
 STOP_LINGER = 2.2
@@ -79,7 +84,15 @@
         self.directory = directory.Directory(place.address)
         hello = frames.Hello(messages.new_identifier(), place.address)
         self.peers = links.Peers(hello, self._take_news)
-        self.guard = Guard(backend_address, dialect, repeat_ratio, self._find_wait)
+        self.graph = callgraph.CallGraph()
+        self._board = Board()
+        self.guard = Guard(
+            backend_address,
+            dialect,
+            repeat_ratio,
+            self._find_wait,
+            self.graph,
+        )
         self.exchange = exchange.Exchange(hello, self.guard.serve, _refuse_forgotten)
         self.forwarder = Forwarder(
             place.address,
@@ -87,7 +100,7 @@
             self.peers,
             self.guard,
             Placement(place.zone, random.Random()),
-            Levels(),
+            self._board,
         )
         self.is_stopping = False
         self._routes = {}
@@ -97,11 +110,6 @@
         """Take calls of other daemons at a `settings.Address`; return the port."""
         return await self.exchange.listen(address.host, address.port)
 
-    def start_tasks(self, group):
-        """Start what the daemon does by itself, in an `asyncio.TaskGroup`."""
-        group.create_task(self.peers.keep())
-        group.create_task(self.exchange.keep())
-
     def install_table(self, table):
         """Put a newer version of the routes in force; an older one never.
 
@@ -128,8 +136,18 @@
         self.guard.install(backend)
         self._publish()
 
-    async def serve(self, request, route):
-        """Serve a request of a caller or of the own backend server."""
+    async def serve(self, request, route, expires):
+        """Serve a request of a caller or a call of the own backend server.
+
+        Args:
+            request: `messages.Request`.
+            route: `routes.Route`.
+            expires: When the caller stops waiting, whatever the route says.
+        """
+        if self.graph.observe(route.name):
+            self._publish()
+        if not self.graph.is_entry(route.name):
+            request = self._inherit(request, expires)
         return await self.forwarder.serve(request, route.most_endpoints)
 
     async def stop(self, servers, seconds):
@@ -178,16 +196,73 @@
     def _publish(self):
         """Tell the daemons that are connected, and the own directory."""
         self.directory.tell(self.place.address, self.endpoint)
-        self.exchange.tell(frames.News(self.endpoint, self.table.version))
+        self.exchange.tell(
+            frames.News(
+                self.endpoint, self.table.version, tuple(sorted(self.graph.entries))
+            )
+        )
+
+    def _inherit(self, request, expires):
+        """Return a call with what it has of the request that made it."""
+        parent = self.graph.choose_parent(request.call, expires)
+        if parent is None:
+            return request
+        return request._replace(
+            importance=messages.Importance(parent.importance),
+            root=parent.root,
+            via=(self.guard.backend.service if self.guard.backend else "",),
+        )
 
     def _take_news(self, address, news):
         """Take what another daemon tells of itself."""
+        if isinstance(news, frames.Levels):
+            self._board.tell(address, news.levels, self._loop.time())
+            return
         self.directory.tell(address, news.endpoint)
+        self.graph.learn_entries(news.entries)
 
     def _find_wait(self, request):
         route = self._routes.get(request.call)
         objective = route.objective if route is not None else USUAL_OBJECTIVE
-        return WAIT_SHARE * objective
+        share = NESTED_WAIT_SHARE if request.via else WAIT_SHARE
+        return share * objective
+
+    async def keep_levels(self):
+        """Tell the connected daemons the levels of the own routes, for ever."""
+        told = ()
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            levels = tuple(self._list_levels())
+            if levels or told:
+                self.exchange.tell_all(frames.Levels(levels))
+                self._board.tell(self.place.address, levels, self._loop.time())
+            told = levels
+
+    def _list_levels(self):
+        """Yield pairs of name and level for the routes to the own backend server."""
+        backend = self.guard.backend
+        if backend is None:
+            return
+        for name, route in self._routes.items():
+            if any(part.service == backend.service for part in route.parts):
+                level = max(self.guard.find_level(name), self._find_below(name))
+                if level > 0.0:
+                    yield name, level
+
+    def _find_below(self, name):
+        """Return the highest admission level that calls of a route's requests meet."""
+        now = self._loop.time()
+        return max(
+            (
+                self._board.level(
+                    child, self.directory.find_endpoints(part.service), now
+                )
+                for child in self.graph.find_children(name)
+                if child in self._routes
+                for part in self._routes[child].parts
+            ),
+            default=0.0,
+        )
 
 
 def _refuse_forgotten(request):
--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -31,6 +31,9 @@
 MOST_TRACKS = 2048
 # Long enough to hear of flows that give one answer in a hundred.
 LOWEST_SECONDS = 1.0
+# Levels are told every tenth of a second; one that missed four of these tellings
+# is no longer believed.
+TOLD_SECONDS = 0.5
 # More than chance makes the levels at two hops differ.
 PASSED_MARGIN = 0.2
 
@@ -177,6 +180,48 @@
         return track
 
 
+class Board:
+    """Levels that daemons tell of the routes which their backend servers serve.
+
+    Load pattern: requests that take a second meet a service that has just become
+    full, four hops down. Learnt from answers, the level comes back with requests
+    that were let in a second ago; it swings between all and nothing, and most of
+    what is let in fails. Told by each daemon to those connected with it, it is at
+    the entry a few tenths of a second later, whether answers come or not.
+    """
+
+    def __init__(self):
+        self._told = {}
+
+    def tell(self, address, levels, now):
+        """Take what the daemon of an address tells.
+
+        Args:
+            address: Its address.
+            levels: Pairs of a route's name and its level, 0 left out.
+            now: Time of the loop's clock in seconds.
+        """
+        self._told[address] = (now, dict(levels))
+
+    def level(self, route, endpoints, now):
+        """Return the mean level of a route over the endpoints of a service.
+
+        Args:
+            route: Name of the route.
+            endpoints: `messages.Endpoint` tuples; one that tells nothing admits
+                everything.
+            now: Time of the loop's clock in seconds.
+        """
+        if not endpoints:
+            return 0.0
+        total = 0.0
+        for endpoint in endpoints:
+            told = self._told.get(endpoint.address)
+            if told is not None and now - told[0] < TOLD_SECONDS:
+                total += told[1].get(route, 0.0)
+        return total / len(endpoints)
+
+
 def refuse_below(request, level):
     """Refuse a request whose rank is below a level, or return None.
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -2,6 +2,7 @@
 
 import enum
 import hashlib
+import itertools
 import os
 from typing import NamedTuple
 
@@ -197,9 +198,18 @@
     )
 
 
+_PREFIX = os.urandom(IDENTIFIER_BYTES // 2).hex()
+_COUNTER = itertools.count(int.from_bytes(os.urandom(4), "big") << 16)
+
+
 def new_identifier():
-    """Return a new random identifier for a request, an attempt or a daemon."""
-    return os.urandom(IDENTIFIER_BYTES).hex()
+    """Return a new identifier for a request, an attempt or a daemon.
+
+    Random is what tells this process from others; within it a count is enough,
+    and asking the system for random bytes for each attempt costs more than the
+    rest of its bookkeeping.
+    """
+    return f"{_PREFIX}{next(_COUNTER):016x}"
 
 
 def rank_request(request):
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -7,12 +7,12 @@
 one that fails fastest; a choice of the very best by stale news sends all
 entries to the same one.
 
-Two endpoints are drawn at random and the one that costs less is taken, which
-avoids the herd. Cost is work in hand for the slots, from this daemon's own
-calls and from the load that answers carried. Endpoints whose answers were slow
-or failed, compared with the median of their peers, are set aside: they get a
-probe now and then, and never more than half of the endpoints are set aside, so
-when all look bad work still goes out.
+Two endpoints are drawn at random, one of them in the own availability zone where
+there is one, and the one that costs less is taken, which avoids the herd. Cost is
+work in hand for the slots, from this daemon's own calls and from the load that
+answers carried. Endpoints whose answers were slow or failed, compared with the
+median of their peers, are set aside: they get a probe now and then, and never more
+than half of the endpoints are set aside, so when all look bad work still goes out.
 """
 
 import collections
@@ -42,8 +42,10 @@
 REPORT_SECONDS = 1.0
 # A refusal marks an endpoint as full for about this long.
 FULL_SECONDS = 0.25
-# Another zone costs a round trip more; worth it from this much more load on.
-ZONE_COST = 0.2
+# Another zone costs a round trip more, and bytes between zones are dear: worth it
+# from this much more load on. At 0.2, with both drawn from all zones, three of
+# four answers crossed zones on a mesh of four, 43 MB in 32 s.
+ZONE_COST = 0.5
 DEPARTED_SECONDS = 60.0
 
 
@@ -294,6 +296,11 @@
         return None
 
     def _draw(self, endpoints):
+        """Draw two endpoints: one of the own zone, if any, and one of the rest."""
+        near = [e for e in endpoints if e.zone == self._zone]
+        far = [e for e in endpoints if e.zone != self._zone]
+        if near and far:
+            return self._random.choice(near), self._random.choice(far)
         if len(endpoints) == 1:
             return endpoints[0], endpoints[0]
         return self._random.sample(endpoints, 2)
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..http1.messages import (
+    CONNECTION_HEADERS,
     HttpRequest,
     HttpResponse,
     drop_headers,
@@ -22,9 +23,11 @@
 # The backend server's signature; only its own answers carry one.
 SIGNATURE = "x-response-seal"
 # What the system sets itself, whatever was sent.
-_OWN_HEADERS = frozenset(
+_OWN_HEADERS = CONNECTION_HEADERS | {
     name.lower() for name in (TIME_LEFT, EXPECTED_BACKEND, CALLER_SERVICE)
-)
+}
+_REQUEST_ID = REQUEST_ID.lower()
+_TIME_LEFT = TIME_LEFT.lower()
 # Statuses that promise that a request has not run and never will.
 _PROMISES = frozenset({408, 421, 429, 503})
 _WRONG_BACKEND = 421
@@ -65,7 +68,7 @@
     host = find_header(http.headers, "host").partition(":")[0].lower()
     if not host:
         raise ValueError("no host")
-    left = find_header(http.headers, TIME_LEFT.lower())
+    left = find_header(http.headers, _TIME_LEFT)
     seconds = float(left) / 1000.0 if left else LONGEST_SECONDS
     if not math.isfinite(seconds):
         raise ValueError("the time left must be a number")
@@ -85,7 +88,7 @@
     headers = drop_headers(http.headers, _OWN_HEADERS)
     return Request(
         attempt=new_identifier(),
-        root=find_header(http.headers, REQUEST_ID.lower()) or new_identifier(),
+        root=find_header(http.headers, _REQUEST_ID) or new_identifier(),
         service=service,
         call=route.name,
         method=http.method,
@@ -115,8 +118,8 @@
 
     An extra answer to an earlier request may come at the place of this one's.
     """
-    echoed = find_header(response.headers, REQUEST_ID.lower())
-    return not echoed or echoed == request.root
+    echoed = find_header(response.headers, _REQUEST_ID)
+    return not echoed or echoed == find_header(request.headers, _REQUEST_ID)
 
 
 def judge_backend_answer(request, response):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
+from absl import logging
+
 from .. import events, messages
 from ..announcements import Announcements, State
 from ..backends.guard import Backend, Dialect
@@ -30,6 +32,8 @@
 # The settings file may change without a signal.
 SETTINGS_SECONDS = 1.0
 ABSENT_RETRY_AFTER = 0.5
+# Before a task that a fault of ours ended starts anew.
+TASK_PAUSE = 0.5
 
 
 class SettingsChange(NamedTuple):
@@ -39,6 +43,21 @@
     changed: str
 
 
+async def keep_running(work):
+    """Run a task for ever; one that a fault of ours ends starts anew.
+
+    A daemon that lost one would go on with the configuration of that moment, and
+    nobody would notice before the next change.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            logging.exception("a task ended")
+            events.write("task-ended", events.Message(repr(error)))
+            await asyncio.sleep(TASK_PAUSE)
+
+
 class Node:
     """One daemon on the platform.
 
@@ -50,7 +69,7 @@
         self._settings = given
         self._store = Store(given.store)
         self._announcements = Announcements()
-        self._instance = Instance(
+        self.instance = Instance(
             Place(str(given.daemons), given.zone, given.region),
             given.backend,
             Dialect(
@@ -69,44 +88,66 @@
 
     async def run(self):
         """Serve until the process is told to stop."""
-        given = self._settings
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(
             signal.SIGHUP, functools.partial(self._read_settings, "signal")
         )
-        await self._instance.listen(given.daemons)
+        await self.listen()
+        events.write("start", self._settings)
+        await self.serve()
+
+    async def listen(self):
+        """Open all addresses of the daemon."""
+        given = self._settings
+        await self.instance.listen(given.daemons)
         await self._control.listen(*given.announcements)
         await self._readiness.listen(*given.readiness)
         await self._callers.listen(*given.callers)
-        events.write("start", given)
-        tasks = [loop.create_task(work) for work in self._list_tasks()]
+
+    def stop(self):
+        """Begin a planned stop; `serve` returns when it is done."""
+        self._stopping.set()
+
+    async def serve(self):
+        """Serve until told to stop."""
+        given, loop = self._settings, asyncio.get_running_loop()
+        tasks = [loop.create_task(keep_running(work)) for work in self._list_work()]
         await self._stopping.wait()
         leaving = loop.create_task(self._withdraw_record())
-        await self._instance.stop((self._callers,), given.stop_grace)
+        await self.instance.stop((self._callers,), given.stop_grace)
         for task in (*tasks, leaving):
             task.cancel()
-
-    def _list_tasks(self):
-        store, instance = self._store, self._instance
-        yield followers.follow_topic(
-            store, CONFIGURATION_TOPIC, self._take_configuration
-        )
-        yield followers.follow_topic(
-            store,
-            INSTANCES_TOPIC,
-            self._take_instances,
-            self._take_all_instances,
-            INSTANCES_WAIT,
+        for server in (self._control, self._readiness):
+            server.end_stop()
+
+    def _list_work(self):
+        store, instance = self._store, self.instance
+        return (
+            functools.partial(
+                followers.follow_topic,
+                store,
+                CONFIGURATION_TOPIC,
+                self._take_configuration,
+            ),
+            functools.partial(
+                followers.follow_topic,
+                store,
+                INSTANCES_TOPIC,
+                self._take_instances,
+                self._take_all_instances,
+                INSTANCES_WAIT,
+            ),
+            self._keep_record,
+            self._watch_settings,
+            instance.peers.keep,
+            instance.exchange.keep,
+            instance.keep_levels,
         )
-        yield self._keep_record()
-        yield self._watch_settings()
-        yield instance.peers.keep()
-        yield instance.exchange.keep()
 
     async def _answer_call(self, http, peer):
         """Answer a request of a caller or of the own backend server."""
-        instance = self._instance
+        instance = self.instance
         if not instance.table.version:
             return dialect.refuse(503, messages.Reason.NOT_READY, ABSENT_RETRY_AFTER)
         try:
@@ -116,19 +157,19 @@
         route = instance.table.find(arrival.host, arrival.path)
         if route is None:
             return dialect.refuse(404, messages.Reason.NO_ROUTE)
-        seconds = min(arrival.seconds, route.timeout)
+        now = asyncio.get_running_loop().time()
         request = dialect.build_request(
             http,
             route,
             instance.shares.choose(route),
             self._settings.service,
-            asyncio.get_running_loop().time() + seconds,
+            now + min(arrival.seconds, route.timeout),
         )
-        answer = await instance.serve(request, route)
+        answer = await instance.serve(request, route, now + arrival.seconds)
         return dialect.form_answer(answer, request.root)
 
     async def _answer_readiness(self, http, peer):
-        ready = self._instance.table.version and not self._instance.is_stopping
+        ready = self.instance.table.version and not self.instance.is_stopping
         if urlsplit(http.target).path != READINESS_PATH:
             return HttpResponse(404, "Not Found")
         return HttpResponse(200, "OK") if ready else HttpResponse(503, "Not Ready")
@@ -168,9 +209,9 @@
     def _install_backend(self):
         newest = self._announcements.newest
         if newest is None:
-            self._instance.install_backend(None)
+            self.instance.install_backend(None)
         else:
-            self._instance.install_backend(
+            self.instance.install_backend(
                 Backend(
                     newest.identity,
                     newest.service,
@@ -189,7 +230,7 @@
             except (InputErrors, ValueError) as error:
                 events.write("configuration-unread", events.Message(str(error)))
                 continue
-            if self._instance.install_table(read.table):
+            if self.instance.install_table(read.table):
                 self._callers.limits = read.limits
 
     def _take_instances(self, records):
@@ -199,14 +240,14 @@
             except ValueError as error:
                 events.write("record-unread", events.Message(f"{record.key}: {error}"))
                 continue
-            self._instance.directory.record(record.key, endpoint)
+            self.instance.directory.record(record.key, endpoint)
         self._changed.set()
 
     def _take_all_instances(self, records):
         """Take the newest record of each address; others have left."""
         known = {record.key for record in records}
-        for address in self._instance.directory.addresses - known:
-            self._instance.directory.record(address, None)
+        for address in self.instance.directory.addresses - known:
+            self.instance.directory.record(address, None)
         self._take_instances(records)
         self._has_read = True
 
@@ -214,7 +255,7 @@
 
     async def _keep_record(self):
         """Keep the own record in the store in line with the backend server."""
-        instance = self._instance
+        instance = self.instance
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -234,7 +275,7 @@
 
     async def _withdraw_record(self):
         """Take the own record out of the store, so that nobody starts with it."""
-        record = Record(self._instance.place.address, b"")
+        record = Record(self.instance.place.address, b"")
         try:
             await self._store.append(INSTANCES_TOPIC, record)
         except StoreError as error:
