--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -15,6 +15,7 @@
 from whinwinch.http1.server import Limits, Server
 
 HEARTBEAT_SECONDS = 1.5
+HEARTBEAT_TIMEOUT = 1.0
 
 
 class Work(NamedTuple):
@@ -127,9 +128,9 @@
         target = f"/whinwinch/instances/{self.identity}"
         request = HttpRequest(method, target, body=body)
         pool = self._find_pool(self._control)
+        until = asyncio.get_running_loop().time() + HEARTBEAT_TIMEOUT
         try:
-            async with asyncio.timeout(1.0):
-                answer = await pool.exchange(format_request(request, self._control))
+            answer = await pool.exchange(format_request(request, self._control), until)
         except (client.NotSentError, client.BrokenError, TimeoutError):
             return 0
         return answer.status
@@ -201,8 +202,8 @@
         request = HttpRequest("GET", path, headers)
         pool = self._find_pool(self._outbound)
         try:
-            answer = await pool.exchange(format_request(request, host))
-        except (client.NotSentError, client.BrokenError):
+            answer = await pool.exchange(format_request(request, host), deadline)
+        except (client.NotSentError, client.BrokenError, TimeoutError):
             return False
         return answer.status == 200
 
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -98,8 +98,7 @@
     host, _, port = address.rpartition(":")
     pool = client.Pool(host, int(port), 1 << 20)
     try:
-        async with asyncio.timeout(left):
-            answer = await pool.exchange(format_request(http, kind.host))
+        answer = await pool.exchange(format_request(http, kind.host), until)
     except (client.NotSentError, client.BrokenError, TimeoutError):
         return request, 0, None
     finally:
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -177,24 +177,31 @@
         return await self._wait(request, future, decision.expires)
 
     async def _wait(self, request, future, expires):
+        timer = self._loop.call_at(expires, self._expire, request)
         try:
-            async with asyncio.timeout_at(expires):
-                return await asyncio.shield(future)
-        except TimeoutError:
-            self._deliver(self._gate.expire(self._loop.time()))
-            if not future.done():
-                self._withdraw(request)
-                return _build_refusal(request, Reason.DEADLINE)
-            return future.result()
+            return await future
         except asyncio.CancelledError:
             self._abandon(request, future)
             raise
         finally:
+            timer.cancel()
             self._waiting.pop(request.attempt, None)
 
+    def _expire(self, request):
+        """Refuse a request that has waited as long as it may."""
+        self._deliver(self._gate.expire(self._loop.time()))
+        future = self._waiting.get(request.attempt)
+        if future is not None and not future.done():
+            self._withdraw(request)
+            future.set_result(
+                gate.Decision(
+                    request.attempt, gate.Verdict.REFUSE, Reason.DEADLINE, 0.0
+                )
+            )
+
     def _abandon(self, request, future):
         """Give back the place of a request that nobody waits for any more."""
-        if not future.done():
+        if future.cancelled():
             self._withdraw(request)
         elif future.result().verdict is gate.Verdict.ADMIT:
             now = self._loop.time()
@@ -269,12 +276,12 @@
             return _build_not_run(request, obstacle or Reason.DEADLINE)
         data = self._dialect.form(request, left, backend.identity)
         try:
-            async with asyncio.timeout(left + ANSWER_SECONDS):
-                response = await self._pool.exchange(
-                    data,
-                    request.method == "HEAD",
-                    functools.partial(self._dialect.belongs, request),
-                )
+            response = await self._pool.exchange(
+                data,
+                request.deadline + ANSWER_SECONDS,
+                request.method == "HEAD",
+                functools.partial(self._dialect.belongs, request),
+            )
         except client.NotSentError as error:
             logging.info("backend server not reached: %s", error)
             return _build_not_run(request, Reason.NOT_SENT)
@@ -300,10 +307,6 @@
         return answer._replace(load=self.load(request))
 
 
-def _build_refusal(request, reason):
-    return gate.Decision(request.attempt, gate.Verdict.REFUSE, reason, 0.0)
-
-
 def _build_not_run(request, reason, retry_after=0.0):
     return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -128,17 +128,16 @@
         number = next(self._numbers)
         future = self._loop.create_future()
         self._pending[number] = Pending(request, future)
+        latest = request.deadline + ANSWER_SECONDS
+        timer = self._loop.call_at(latest, self._expire, number)
         self._link.send(frames.Call(number, request))
         try:
-            async with asyncio.timeout_at(request.deadline + ANSWER_SECONDS):
-                return await future
-        except TimeoutError:
-            self._cancel(number)
-            return build_failure(request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
+            return await future
         except asyncio.CancelledError:
             self._cancel(number)
             raise
         finally:
+            timer.cancel()
             self._pending.pop(number, None)
 
     def connect(self):
@@ -211,6 +210,15 @@
         if self._link is not None and self._link.transport is not None:
             self._link.send(frames.Cancel(number))
 
+    def _expire(self, number):
+        """Give up a call whose answer has not come in time."""
+        pending = self._pending.get(number)
+        if pending is None or pending.future.done():
+            return
+        self._cancel(number)
+        failure = build_failure(pending.request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
+        pending.future.set_result(failure)
+
     def _settle(self, reply):
         pending = self._pending.get(reply.number)
         if pending is None or pending.future.done():
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 
-from . import decisions, messages, retries
+from . import decisions, hints, messages, retries
 from .levels import refuse_below
 from .messages import Outcome, Reason, build_failure
 from .placement import Choice
@@ -72,7 +72,7 @@
             )
             self._log_answer(attempt, answer, choice, decision)
             if not decision.again:
-                return answer
+                return _add_hint(answer)
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
@@ -160,3 +160,11 @@
                 decision.ground,
             )
         )
+
+
+def _add_hint(answer):
+    """Return an answer that says when to come back, where it was not run."""
+    if answer.outcome is not Outcome.NOT_RUN or answer.retry_after:
+        return answer
+    pause = hints.choose_retry_after(0.0, answer.attempt)
+    return answer._replace(retry_after=pause)
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -85,16 +85,18 @@
         """Whether another request may be sent."""
         return self._transport is not None and not self._is_spoilt
 
-    async def exchange(self, data, is_head, accepts):
+    async def exchange(self, data, is_head, accepts, until):
         """Send the bytes of a request and return the `messages.HttpResponse`.
 
         Args:
             data: The bytes.
             is_head: Whether the answer has no body, whatever length it states.
             accepts: Function that tells whether an answer belongs to the request.
+            until: Time of the loop's clock by which the answer must be whole.
 
         Raises:
             BrokenError: When no whole answer came; the request may have run.
+            TimeoutError: When it didn't come in time; the request may have run.
         """
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
@@ -102,6 +104,7 @@
         self._reset()
         self._waiter = self._loop.create_future()
         self.uses += 1
+        timer = self._loop.call_at(until, self._expire)
         self._transport.write(data)
         try:
             return await self._waiter
@@ -111,6 +114,7 @@
             self.abort()
             raise
         finally:
+            timer.cancel()
             self._waiter = None
 
     def close(self):
@@ -193,6 +197,12 @@
         self.idle_until = self._loop.time() + self._keep_seconds
         self._waiter.set_result(response)
 
+    def _expire(self):
+        """Give up an answer that takes too long, and its connection with it."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(TimeoutError())
+        self.abort()
+
     def _fail(self, why):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(BrokenError(why))
@@ -229,21 +239,23 @@
         self._idle = collections.deque()
         self.opened = 0
 
-    async def exchange(self, data, is_head=False, accepts=_accept):
+    async def exchange(self, data, until, is_head=False, accepts=_accept):
         """Send the bytes of a request and return the `messages.HttpResponse`.
 
         Args:
             data: The bytes.
+            until: Time of the loop's clock by which the answer must be whole.
             is_head: Whether the answer has no body, whatever length it states.
             accepts: Function that tells whether an answer belongs to the request.
 
         Raises:
             NotSentError: When no connection could be had.
             BrokenError: When no whole answer came; the request may have run.
+            TimeoutError: When it didn't come in time; the request may have run.
         """
-        connection = self._take() or await self._open()
+        connection = self._take() or await self._open(until)
         try:
-            return await connection.exchange(data, is_head, accepts)
+            return await connection.exchange(data, is_head, accepts, until)
         finally:
             if connection.is_open:
                 self._idle.append(connection)
@@ -265,10 +277,11 @@
             connection.close()
         return None
 
-    async def _open(self):
+    async def _open(self, until):
         self.opened += 1
+        latest = min(until, self._loop.time() + CONNECT_SECONDS)
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout_at(latest):
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(self._loop, self._most_body),
                     *self._address,
--- a/whinwinch/platform/store.py
+++ b/whinwinch/platform/store.py
@@ -161,11 +161,11 @@
         request = HttpRequest(
             method, f"/whinwinch/{name}?{urlencode(query)}", body=body
         )
+        until = asyncio.get_running_loop().time() + CALL_SECONDS + wait
         try:
-            async with asyncio.timeout(CALL_SECONDS + wait):
-                response = await self._pool.exchange(
-                    format_request(request, self._host)
-                )
+            response = await self._pool.exchange(
+                format_request(request, self._host), until
+            )
         except client.NotSentError as error:
             raise StoreError(Outcome.NOT_DONE, str(error)) from error
         except client.BrokenError as error:
