--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN = .venv/bin
 
-.PHONY: setup test demo bench measure slopes check format protos
+.PHONY: setup test demo emulate bench measure slopes check format protos
 
 setup: .venv/ready
 
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python -m demo.run
 
+emulate: setup
+	$(BIN)/python -m emulator.run
+
 bench: setup
 	$(BIN)/python -m bench.latency
 
--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -141,6 +141,12 @@
             await self.announce()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def close(self):
+        """Drop all connections."""
+        self.server.abort()
+        for pool in self._pools.values():
+            pool.close()
+
     def _find_pool(self, address):
         if address not in self._pools:
             host, _, port = address.rpartition(":")
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -9,6 +9,8 @@
 
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
+# After these no caller asks again: the request itself is wrong, or was served.
+FINAL = frozenset({200, 400, 401, 404, 413, 431})
 _NUMBERS = itertools.count(1)
 
 
@@ -74,7 +76,7 @@
         whole = status == 200 and answer.body.startswith(request.encode())
         pause = float(find_header(answer.headers, "retry-after") or 0) if answer else 0
         told = Told(tuple(requests), tuple(statuses), loop.time() - began, whole, pause)
-        if status == 200 or len(requests) > kind.retries:
+        if status in FINAL or len(requests) > kind.retries:
             return told
         if kind.method != "GET" and status not in PROMISES:
             return told
--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -65,11 +65,16 @@
         return self
 
     async def __aexit__(self, *_):
-        for member in self.members:
-            member.node.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for member in self.members:
+            member.node.close()
+            member.backend.close()
+        self.store.server.abort()
+        # Connections that were dropped cancel their requests in the next turns
+        # of the loop.
+        await asyncio.sleep(0.02)
 
     def configure(self, configuration):
         """Write a configuration as the operator does."""
@@ -104,7 +109,7 @@
             store=Address(LOCAL, self._store_port),
             repeat_ratio=0.2,
             drain=2.0,
-            stop_grace=0.5,
+            stop_grace=3.0,
         )
         node = Node(given)
         await node.listen()
--- /dev/null
+++ b/test/emulator/test_mesh.py
@@ -0,0 +1,246 @@
+"""Tests of the whole path on the platform: store, daemons, backend servers, callers."""
+
+import asyncio
+import json
+import unittest
+
+from emulator import backend, caller, mesh, press
+from whinwinch.http1 import client
+from whinwinch.http1.messages import HttpRequest, format_request
+
+PAY = press.FLOWS[0].kind
+STATUS = press.FLOWS[1].kind
+BROWSE = press.FLOWS[2].kind
+SAFE_RUNS = ("browse", "status")
+
+
+class MeshTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.mesh = mesh.Mesh(press.SERVICES, press.CONFIGURATION)
+        await self.mesh.__aenter__()
+        self.addAsyncCleanup(self.mesh.__aexit__, None, None, None)
+        self.entries = [member.callers for member in self.mesh.members]
+
+    async def ask(self, kind, count=1, entry=None):
+        """Ask from all entries in turn, or from one; return what was told."""
+        entries = self.entries if entry is None else [entry]
+        return await asyncio.gather(
+            *(caller.ask(entries[n % len(entries)], kind) for n in range(count))
+        )
+
+    def list_runs(self, service):
+        return [
+            run for member in self.mesh.find(service) for run in member.backend.runs
+        ]
+
+    def set_faults(self, service, **faults):
+        for member in self.mesh.find(service):
+            member.backend.faults = backend.Faults(**faults)
+
+    def change(self, version, **routes):
+        configuration = {**press.CONFIGURATION, "version": version}
+        configuration["routes"] = {**press.ROUTES, **routes}
+        self.mesh.configure(configuration)
+
+    async def wait_for_version(self, version):
+        await self.mesh.wait_until(
+            lambda: all(
+                member.node.instance.table.version == version
+                for member in self.mesh.members
+            )
+        )
+
+    async def test_every_entry_serves_every_service(self):
+        for kind in (PAY, STATUS, BROWSE):
+            told = await self.ask(kind, len(self.entries))
+            self.assertTrue(all(each.whole for each in told), told)
+        for run in self.list_runs("front"):
+            self.assertNotEqual(run.caller, "forged")
+            self.assertIn(run.caller, {service.name for service in press.SERVICES})
+
+    async def test_calls_carry_the_service_that_makes_them(self):
+        await self.ask(BROWSE)
+        self.assertEqual({run.caller for run in self.list_runs("middle")}, {"front"})
+        self.assertEqual({run.caller for run in self.list_runs("deep")}, {"middle"})
+
+    async def test_unsafe_work_whose_answer_is_lost_runs_once(self):
+        """A backend server makes a payout and its answer is lost.
+
+        Asked again, it would pay twice. The caller is told that nobody knows.
+        """
+        self.set_faults("front", lose=1.0)
+        with self.assertLogs("absl", "ERROR"):
+            told = await self.ask(PAY, 6)
+        runs = [run.request for run in self.list_runs("front")]
+        self.assertEqual(len(runs), len(set(runs)))
+        for each in told:
+            self.assertNotIn(each.statuses[-1], caller.PROMISES)
+            self.assertFalse(each.whole)
+
+    async def test_refused_work_has_not_run(self):
+        """Backend servers turn down much of what they get.
+
+        A refusal says that the request was not run; one that ran after it would
+        be paid twice when the caller asks again.
+        """
+        self.set_faults("front", shed=0.7)
+        told = await self.ask(PAY, 12)
+        runs = {run.request for run in self.list_runs("front")}
+        for each in told:
+            for request, status in zip(each.requests, each.statuses, strict=True):
+                if status in caller.PROMISES:
+                    self.assertNotIn(request, runs)
+        self.assertTrue(any(each.whole for each in told))
+
+    async def test_refusal_says_when_to_come_back(self):
+        self.set_faults("deep", shed=1.0)
+        (told,) = await self.ask(STATUS)
+        self.assertEqual(told.statuses[-1], 503)
+        self.assertGreater(told.retry_after, 0.0)
+
+    async def test_links_that_are_reset_lose_nothing(self):
+        """All connections between daemons are reset while requests are out."""
+        asking = asyncio.create_task(self.ask(PAY, 4))
+        for _ in range(6):
+            await asyncio.sleep(0.03)
+            for member in self.mesh.members:
+                for session in tuple(member.node.instance.exchange.sessions):
+                    session.transport.abort()
+        told = await asking
+        self.assertTrue(all(each.whole for each in told), told)
+        runs = [run.request for run in self.list_runs("front")]
+        self.assertEqual(len(runs), len(set(runs)))
+
+    async def test_leaving_backend_server_gets_nothing_more(self):
+        """A backend server says that it drains, and its daemon acknowledges it.
+
+        What it is given after that is cut off when it goes.
+        """
+        leaving, staying = self.mesh.find("deep")
+        leaving.backend.state = "draining"
+        self.assertEqual(await leaving.backend.announce(), 200)
+        before = len(leaving.backend.runs)
+        told = [one for _ in range(6) for one in await self.ask(STATUS, 2)]
+        self.assertTrue(all(each.whole for each in told), told)
+        self.assertEqual(len(leaving.backend.runs), before)
+        self.assertGreater(len(staying.backend.runs), 0)
+
+    async def test_backend_server_that_leaves_without_draining(self):
+        leaving, _ = self.mesh.find("deep")
+        self.assertEqual(await leaving.backend.leave(), 200)
+        await leaving.backend.announce()
+        before = len(leaving.backend.runs)
+        told = [one for _ in range(6) for one in await self.ask(STATUS, 2)]
+        self.assertTrue(all(each.whole for each in told), told)
+        self.assertEqual(len(leaving.backend.runs), before)
+
+    async def test_backend_server_whose_address_another_one_got(self):
+        """A backend server is gone and another one answers at its address.
+
+        It says that it isn't the one expected: nothing was run, and nothing more
+        is sent there.
+        """
+        gone, _ = self.mesh.find("deep")
+        gone.backend.identity = "i-another"
+        told = await self.ask(STATUS, 6)
+        self.assertTrue(all(each.whole for each in told), told)
+
+    async def test_caller_that_hangs_up_stops_the_work(self):
+        """A reader closes the page; the work for it would go on for nobody."""
+        self.set_faults("deep", slower=50.0)
+        asking = asyncio.create_task(self.ask(STATUS))
+        await self.mesh.wait_until(lambda: self.list_runs("deep"))
+        asking.cancel()
+        await self.mesh.wait_until(
+            lambda: not any(m.backend.busy for m in self.mesh.find("deep")), 5.0
+        )
+        ends = [end for m in self.mesh.find("deep") for end in m.backend.ends]
+        self.assertEqual(ends, [])
+
+    async def test_answer_at_the_timeout_of_the_route(self):
+        self.set_faults("deep", slower=50.0)
+        told = await self.ask(STATUS._replace(deadline=5.0, retries=0), 3)
+        for each in told:
+            self.assertEqual(each.statuses, (504,))
+            self.assertLess(each.seconds, 0.6 + 0.5)
+
+    async def test_configuration_is_in_force_and_stays(self):
+        """Routes come and go; an older version arrives again behind a newer one."""
+        kind = caller.Kind("new.example", "/new/1")
+        (told,) = await self.ask(kind)
+        self.assertEqual(told.statuses, (404,))
+        route = press.build_route("new.example", "/new/", "deep", "safe", 1, 600, 150)
+        for member in self.mesh.find("deep"):
+            member.backend.works = {**member.backend.works, "/new/": backend.Work(0.0)}
+        self.change("r9", new=route)
+        await self.wait_for_version(9)
+        self.change("r4")
+        told = await self.ask(kind, len(self.entries))
+        self.assertTrue(all(each.whole for each in told), told)
+        self.change("r11")
+        await self.wait_for_version(11)
+        told = await self.ask(kind, len(self.entries))
+        self.assertEqual({each.statuses for each in told}, {(404,)})
+
+    async def test_store_that_is_down(self):
+        """The store answers nothing for a while; callers must not notice.
+
+        A change made before its return has to be in force soon after it.
+        """
+        self.mesh.store.faults = self.mesh.store.faults._replace(refuse=503)
+        told = await self.ask(BROWSE, 6)
+        self.assertTrue(all(each.whole for each in told), told)
+        self.change("r20")
+        await asyncio.sleep(0.3)
+        self.mesh.store.faults = self.mesh.store.faults._replace(refuse=0)
+        await self.wait_for_version(20)
+
+    async def test_daemon_that_starts_while_the_store_is_down(self):
+        """It knows no configuration: 404 would tell callers that they are wrong."""
+        self.mesh.store.faults = self.mesh.store.faults._replace(refuse=503)
+        member = await self.mesh.add(press.SERVICES[0], "a")
+        (told,) = await self.ask(BROWSE._replace(retries=0), entry=member.callers)
+        self.assertEqual(told.statuses, (503,))
+        self.assertEqual(await self.probe(member), 503)
+
+    async def test_endpoint_that_joins_gets_its_share(self):
+        member = await self.mesh.add(press.SERVICES[2], "a")
+        await self.mesh.wait_until(self.mesh.is_complete)
+        for _ in range(6):
+            await self.ask(STATUS, 6)
+        self.assertGreater(len(member.backend.runs), 0)
+
+    async def test_planned_stop_answers_what_is_in_flight(self):
+        """A daemon is told to stop while it works in both directions."""
+        member = self.mesh.find("front")[0]
+        asking = asyncio.create_task(self.ask(PAY, 4))
+        await self.mesh.wait_until(lambda: member.backend.runs)
+        member.node.stop()
+        told = await asking
+        self.assertTrue(all(each.whole for each in told), told)
+        self.assertEqual(await self.probe(member), 503)
+
+    async def probe(self, member):
+        """Return the status that the platform is told of a daemon."""
+        address = member.node._settings.readiness
+        pool = client.Pool(*address, 1000)
+        data = format_request(HttpRequest("GET", "/whinwinch/ready"), "h")
+        try:
+            until = asyncio.get_running_loop().time() + 5
+            return (await pool.exchange(data, until)).status
+        except (client.NotSentError, client.BrokenError):
+            return 503
+        finally:
+            pool.close()
+
+    async def test_heartbeat_that_names_no_endpoint(self):
+        """Another writer sends a heartbeat of another service, or of no form."""
+        member = self.mesh.find("deep")[0]
+        for service, slots in (("other", 4), ("deep", "four")):
+            beat = {"service": service, "slots": slots, "state": "ready", "seq": 1}
+            stranger = backend.Backend(
+                "i-x", service, 4, {}, "", member.backend._control
+            )
+            status = await stranger.tell("PUT", json.dumps(beat).encode())
+            self.assertEqual(status, 400)
+        self.assertTrue(all(t.whole for t in await self.ask(STATUS, 6)))
--- /dev/null
+++ b/test/platform/test_configuration.py
@@ -0,0 +1,64 @@
+"""Tests of the operator's configuration."""
+
+import json
+import unittest
+
+from whinwinch import errors, routes
+from whinwinch.messages import Importance
+from whinwinch.platform import configuration
+
+ROUTE = {
+    "host": "H.example",
+    "path_prefix": "/a/",
+    "kind": "unsafe",
+    "timeout": "800ms",
+    "target_latency": "1.5s",
+    "priority": 0,
+    "service": "s1",
+    "max_attempts": 2,
+}
+SPLIT = {
+    "host": "h",
+    "path_prefix": "/b/",
+    "kind": "safe",
+    "priority": 7,
+    "weighted_services": [
+        {"service": "s1", "weight": 90},
+        {"service": "s2", "weight": 10},
+        {"service": "s3", "weight": 0},
+    ],
+}
+
+
+def parse(named, version="r7", limits=None):
+    document = {"version": version, "routes": named, "limits": limits}
+    return configuration.parse_configuration(json.dumps(document).encode())
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_read(self):
+        read = parse({"one": ROUTE, "two": SPLIT}, limits={"idle_timeout": "12s"})
+        one, two = read.table.routes
+        self.assertEqual(read.table.version, 7)
+        self.assertEqual(
+            (one.host, one.timeout, one.objective), ("h.example", 0.8, 1.5)
+        )
+        self.assertFalse(one.repeatable)
+        self.assertEqual(one.importance, Importance.CRITICAL)
+        self.assertTrue(two.repeatable)
+        self.assertEqual(two.importance, Importance.LOW)
+        self.assertEqual(two.parts, (routes.Part("s1", 90), routes.Part("s2", 10)))
+        self.assertEqual(read.limits.idle_seconds, 12.0)
+
+    def test_places_of_all_that_cannot_be_read(self):
+        """A route that can't be read must not vanish: its callers would get 404."""
+        bad = {**ROUTE, "kind": "sometimes"}
+        with self.assertRaises(errors.InputErrors) as caught:
+            parse({"one": bad, "two": {}, "three": SPLIT})
+        places = [finding.place for finding in caught.exception.findings]
+        self.assertEqual(places, ["routes.one", "routes.two"])
+
+    def test_no_configuration(self):
+        for data in (b"", b"[]", b"{}", b"\xff", b'{"version": "7"}'):
+            with self.assertRaises(ValueError):
+                configuration.parse_configuration(data)
--- /dev/null
+++ b/test/platform/test_dialect.py
@@ -0,0 +1,116 @@
+"""Tests of headers and statuses of callers and backend servers."""
+
+import unittest
+
+from whinwinch.http1.messages import HttpRequest, HttpResponse, find_header
+from whinwinch.messages import Answer, Outcome, Reason, build_failure
+from whinwinch.platform import dialect
+from whinwinch.routes import Part, Route
+
+SAFE = Route("r", "h", "/a/", (Part("s", 1),), repeatable=True)
+UNSAFE = SAFE._replace(repeatable=False)
+ASKED = HttpRequest(
+    "POST",
+    "/a/b?c=d",
+    (
+        ("Host", "H.example:80"),
+        ("X-Request-Id", "q1"),
+        ("X-Deadline-Ms", "900"),
+        ("X-Caller-Service", "forged"),
+        ("X-Expected-Instance", "forged"),
+        ("Connection", "keep-alive"),
+        ("X-Else", "1"),
+    ),
+    b"body",
+)
+
+
+def build(route=SAFE):
+    return dialect.build_request(ASKED, route, "s", "own", 9.0)
+
+
+def judge(status, *headers, route=SAFE):
+    response = HttpResponse(status, "Phrase", headers, b"x")
+    return dialect.judge_backend_answer(build(route), response)
+
+
+class RequestTest(unittest.TestCase):
+    def test_arrival(self):
+        arrival = dialect.read_arrival(ASKED)
+        self.assertEqual(arrival, dialect.Arrival("h.example", "/a/b", 0.9))
+
+    def test_no_request(self):
+        for http in (
+            ASKED._replace(target="http://h/a/"),
+            ASKED._replace(headers=()),
+            ASKED._replace(headers=(("Host", "h"), ("X-Deadline-Ms", "soon"))),
+        ):
+            with self.assertRaises(ValueError):
+                dialect.read_arrival(http)
+
+    def test_what_the_backend_server_gets(self):
+        """A caller forges the headers that only the system may set."""
+        data = dialect.form_backend_request(build(), 0.75, "i-1").decode()
+        head, _, body = data.partition("\r\n\r\n")
+        lines = head.split("\r\n")
+        self.assertEqual(lines[0], "POST /a/b?c=d HTTP/1.1")
+        self.assertEqual(body, "body")
+        self.assertIn("X-Caller-Service: own", lines)
+        self.assertIn("X-Expected-Instance: i-1", lines)
+        self.assertIn("X-Deadline-Ms: 750", lines)
+        self.assertIn("X-Else: 1", lines)
+        self.assertIn("Content-Length: 4", lines)
+        self.assertNotIn("forged", head)
+        self.assertEqual(head.count("X-Deadline-Ms"), 1)
+
+
+class AnswerTest(unittest.TestCase):
+    def test_whole_answer_is_passed_on_unchanged(self):
+        answer = judge(201, ("X-Response-Seal", "s"), ("Keep-Alive", "timeout=5"))
+        self.assertEqual(answer.outcome, Outcome.COMPLETED)
+        response = dialect.form_answer(answer, "q1")
+        expected = HttpResponse(201, "Phrase", (("X-Response-Seal", "s"),), b"x")
+        self.assertEqual(response, expected)
+
+    def test_turned_down(self):
+        answer = judge(503, ("X-Not-Executed", "1"))
+        self.assertEqual(
+            (answer.outcome, answer.reason), (Outcome.NOT_RUN, Reason.SHED)
+        )
+        self.assertTrue(answer.offered)
+
+    def test_another_backend_server_has_the_address(self):
+        answer = judge(421, ("X-Instance-Id", "i-2"))
+        self.assertEqual(answer.reason, Reason.WRONG_BACKEND)
+        self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+
+    def test_promise_that_was_not_given(self):
+        """A backend server runs a payout and answers 503 all the same.
+
+        Passed on, the status says that the payout was not run; it is asked for
+        again and made twice.
+        """
+        answer = judge(503, ("X-Response-Seal", "s"), route=UNSAFE)
+        self.assertEqual(answer.outcome, Outcome.UNKNOWN)
+        self.assertEqual(dialect.form_answer(answer, "q1").status, 502)
+
+    def test_success_without_signature(self):
+        """Something else than the backend server answers at its address."""
+        self.assertEqual(judge(200).outcome, Outcome.UNKNOWN)
+
+    def test_answer_of_another_request(self):
+        response = HttpResponse(200, "OK", (("X-Request-Id", "q0"),))
+        self.assertFalse(dialect.belongs_to(build(), response))
+        response = HttpResponse(200, "OK", (("X-Request-Id", "q1"),))
+        self.assertTrue(dialect.belongs_to(build(), response))
+
+    def test_refusal_says_when_to_come_back(self):
+        answer = build_failure(build(), Outcome.NOT_RUN, Reason.LEVEL, retry_after=0.25)
+        response = dialect.form_answer(answer, "q1")
+        self.assertEqual(response.status, 503)
+        self.assertEqual(find_header(response.headers, "retry-after"), "0.250")
+
+    def test_unknown_promises_nothing(self):
+        for reason, status in ((Reason.BROKEN, 502), (Reason.DEADLINE, 504)):
+            answer = Answer("a", Outcome.UNKNOWN, reason)
+            self.assertEqual(dialect.form_answer(answer, "q1").status, status)
--- /dev/null
+++ b/test/platform/test_records.py
@@ -0,0 +1,30 @@
+"""Tests of the records by which daemons introduce themselves."""
+
+import json
+import unittest
+
+from whinwinch.messages import Endpoint
+from whinwinch.platform import node
+
+ENDPOINT = Endpoint("h:1", "h:1", "s", "a", "r", 4)
+
+
+class RecordTest(unittest.TestCase):
+    def test_round_trip(self):
+        value = node.encode_endpoint(ENDPOINT)
+        self.assertEqual(node.decode_endpoint("h:1", value), ENDPOINT)
+        self.assertIsNone(node.decode_endpoint("h:1", b""))
+
+    def test_record_of_another_writer(self):
+        """Another writer's record has other fields; no endpoint must come of it."""
+        fields = ENDPOINT._asdict()
+        for value in (
+            b"\xff",
+            b"[]",
+            b"{}",
+            json.dumps({**fields, "slots": "4"}).encode(),
+            json.dumps({**fields, "leaving": 0}).encode(),
+            json.dumps({**fields, "address": "h:2"}).encode(),
+        ):
+            with self.subTest(value), self.assertRaises(ValueError):
+                node.decode_endpoint("h:1", value)
--- a/whinwinch/http1/server.py
+++ b/whinwinch/http1/server.py
@@ -168,6 +168,11 @@
         if not self._slots and not self._in_head and self._transport is not None:
             self._transport.close()
 
+    def abort(self):
+        """Drop the connection and what is under way for it."""
+        if self._transport is not None:
+            self._transport.abort()
+
     @property
     def is_idle(self):
         """Whether no request is being read or answered."""
@@ -310,6 +315,13 @@
         for connection in tuple(self.connections):
             connection.stop_reading()
 
+    def abort(self):
+        """Accept nothing more and drop all connections, answered or not."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in tuple(self.connections):
+            connection.abort()
+
     @property
     def is_idle(self):
         """Whether no connection waits for an answer."""
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -171,13 +171,16 @@
         until = began + seconds - STOP_RESERVE
         while self._loop.time() < until and not self._is_idle(servers):
             await asyncio.sleep(STOP_TICK)
-        self.exchange.close()
-        self.peers.close()
-        self.guard.close()
         idle = self._is_idle(servers)
         text = "nothing in flight" if idle else "the time allowed is over"
         events.write("stopped", events.Message(text))
 
+    def close(self):
+        """Close all connections to other daemons and to the backend server."""
+        self.exchange.close()
+        self.peers.close()
+        self.guard.close()
+
     @property
     def endpoint(self):
         """What others are told of the own backend server."""
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -109,17 +109,28 @@
         """Begin a planned stop; `serve` returns when it is done."""
         self._stopping.set()
 
+    def close(self):
+        """Drop all connections at once."""
+        for server in (self._callers, self._control, self._readiness):
+            server.abort()
+        self.instance.close()
+        self._store.close()
+
     async def serve(self):
         """Serve until told to stop."""
         given, loop = self._settings, asyncio.get_running_loop()
         tasks = [loop.create_task(keep_running(work)) for work in self._list_work()]
-        await self._stopping.wait()
+        try:
+            await self._stopping.wait()
+        except asyncio.CancelledError:
+            for task in tasks:
+                task.cancel()
+            raise
         leaving = loop.create_task(self._withdraw_record())
         await self.instance.stop((self._callers,), given.stop_grace)
         for task in (*tasks, leaving):
             task.cancel()
-        for server in (self._control, self._readiness):
-            server.end_stop()
+        self.close()
 
     def _list_work(self):
         store, instance = self._store, self.instance
