--- a/test/test_levels.py
+++ b/test/test_levels.py
@@ -68,3 +68,29 @@
             learnt.learn("s", "", messages.Load(level=0.5), 0.0, request)
         self.assertLessEqual(len(learnt._tracks), levels.MOST_TRACKS)
         self.assertGreater(learnt.level("s", "", 0.01), 0.0)
+
+
+class BoardTest(unittest.TestCase):
+    def setUp(self):
+        self.board = levels.Board()
+        self.endpoints = [messages.Endpoint(name, name, "s") for name in ("h:1", "h:2")]
+
+    def level(self, now):
+        return self.board.level("c", self.endpoints, now)
+
+    def test_mean_over_the_endpoints(self):
+        self.board.tell("h:1", (("c", 2.0), ("d", 3.0)), 1.0)
+        self.assertEqual(self.level(1.1), 1.0)
+        self.board.tell("h:2", (("c", 1.0),), 1.1)
+        self.assertEqual(self.level(1.2), 1.5)
+
+    def test_level_that_is_no_longer_told_is_forgotten(self):
+        """A daemon that told a high level is gone.
+
+        Believed for ever, it would keep callers out though there is room.
+        """
+        self.board.tell("h:1", (("c", 4.0),), 1.0)
+        self.assertEqual(self.level(1.0 + levels.TOLD_SECONDS), 0.0)
+
+    def test_no_endpoint_refuses_nothing(self):
+        self.assertEqual(self.board.level("c", (), 1.0), 0.0)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -52,6 +52,29 @@
         """
         self.assertLess(run({"d1": 0.0001}, {"d1": 500})["d1"], 20)
 
+    def test_own_availability_zone_goes_first_while_it_is_as_good(self):
+        """Endpoints of all zones are alike; what crosses zones is slower and dear.
+
+        Spread evenly, three of four answers would cross on a mesh of four zones.
+        """
+        place = placement.Placement("b", random.Random(7))
+        endpoints = [e._replace(zone=z) for e, z in zip(ENDPOINTS, "abcd", strict=True)]
+        for _ in range(20):
+            choice = place.choose(REQUEST, endpoints, 0.0)
+            self.assertEqual(choice.endpoint.daemon, "d1")
+        for number in range(8):
+            place.start("d1", 0.0, REQUEST._replace(attempt=str(number)))
+        away = [place.choose(REQUEST, endpoints, 0.0).endpoint for _ in range(20)]
+        self.assertNotIn("d1", {endpoint.daemon for endpoint in away})
+
+    def test_attempt_that_was_given_up_is_no_longer_out(self):
+        place = placement.Placement("a", random.Random(7))
+        for number in range(50):
+            place.start("d1", 0.0, REQUEST._replace(attempt=str(number)))
+            place.withdraw("d1", str(number))
+        chosen = [place.choose(REQUEST, ENDPOINTS, 0.0).endpoint for _ in range(200)]
+        self.assertIn("d1", {endpoint.daemon for endpoint in chosen})
+
     def test_work_goes_out_when_all_look_bad(self):
         """Every endpoint fails, for instance because what they share is down.
 
