--- a/whinwinch/waiting.py
+++ b/whinwinch/waiting.py
@@ -38,6 +38,9 @@
     def __init__(self):
         self._classes = collections.defaultdict(collections.OrderedDict)
         self._places = {}
+        # No waiter expires before this; scanned for each request, a long queue
+        # costs more than the decision itself.
+        self._earliest = math.inf
 
     def __len__(self):
         return len(self._places)
@@ -50,6 +53,7 @@
         importance = int(waiter.request.importance)
         self._classes[importance][waiter.request.attempt] = waiter
         self._places[waiter.request.attempt] = importance
+        self._earliest = min(self._earliest, waiter.expires)
 
     def remove(self, attempt):
         """Remove and return the waiter of an attempt, or None."""
@@ -91,6 +95,8 @@
 
     def take_expired(self, now):
         """Remove and return the waiters whose time has come."""
+        if now < self._earliest:
+            return []
         expired = [
             waiter
             for waiters in self._classes.values()
@@ -99,6 +105,7 @@
         ]
         for waiter in expired:
             self.remove(waiter.request.attempt)
+        self._earliest = self.next_expiry() or math.inf
         return expired
 
     def next_expiry(self):
