--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -188,6 +188,15 @@
         self.assertIs((await call).outcome, Outcome.COMPLETED)
         self.assertEqual(self.ran, ["a1"])
 
+    async def test_departed_daemon_is_forgotten(self):
+        """Instances are replaced by the hundred each day.
+
+        Kept, their addresses would fill the memory and be tried for ever.
+        """
+        self.peers.find("127.0.0.1:9")
+        self.peers.forget("127.0.0.1:9")
+        self.assertEqual(len(self.peers), 1)
+
     async def test_news_and_levels(self):
         await self.peer.call(build_request(1))
         self.called.tell(frames.News(Endpoint("x", "x", "s", leaving=True), 4))
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -305,6 +305,9 @@
         self._take_news = take_news
         self._peers = {}
 
+    def __len__(self):
+        return len(self._peers)
+
     def find(self, address):
         """Return the `Peer` of an address, made at its first use."""
         peer = self._peers.get(address)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -136,6 +136,12 @@
         self.guard.install(backend)
         self._publish()
 
+    def record_endpoint(self, address, endpoint):
+        """Take what the log holds of the daemon at an address, None for nothing."""
+        self.directory.record(address, endpoint)
+        if endpoint is None:
+            self.peers.forget(address)
+
     async def serve(self, request, route, expires):
         """Serve a request of a caller or a call of the own backend server.
 
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -84,6 +84,7 @@
         self._readiness = Server(self._answer_readiness, limits)
         self._control = Server(self._answer_announcement, limits)
         self._changed = asyncio.Event()
+        self._has_read = False
         self._stopping = asyncio.Event()
 
     async def run(self):
@@ -251,19 +252,17 @@
             except ValueError as error:
                 events.write("record-unread", events.Message(f"{record.key}: {error}"))
                 continue
-            self.instance.directory.record(record.key, endpoint)
+            self.instance.record_endpoint(record.key, endpoint)
         self._changed.set()
 
     def _take_all_instances(self, records):
         """Take the newest record of each address; others have left."""
         known = {record.key for record in records}
         for address in self.instance.directory.addresses - known:
-            self.instance.directory.record(address, None)
+            self.instance.record_endpoint(address, None)
         self._take_instances(records)
         self._has_read = True
 
-    _has_read = False
-
     async def _keep_record(self):
         """Keep the own record in the store in line with the backend server."""
         instance = self.instance
