--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -31,11 +31,21 @@
 
 
 class Member(NamedTuple):
-    """One instance: its daemon, its backend server, where callers ask."""
+    """One instance.
+
+    Attributes:
+        node: Its daemon.
+        task: What runs the daemon.
+        backend: Its backend server.
+        callers: Where callers ask, an "IP:PORT".
+        settings: Settings of the daemon.
+    """
 
     node: Node
+    task: asyncio.Task
     backend: backend.Backend
     callers: str
+    settings: InstanceSettings
 
 
 class Mesh:
@@ -113,12 +123,27 @@
         )
         node = Node(given)
         await node.listen()
-        self._start(node.serve())
+        task = self._start(node.serve())
         self._start(own.keep_announcing())
-        member = Member(node, own, callers)
+        member = Member(node, task, own, callers, given)
         self.members.append(member)
         return member
 
+    async def kill(self, member):
+        """End a daemon at once; its backend server lives on."""
+        member.task.cancel()
+        await asyncio.gather(member.task, return_exceptions=True)
+        member.node.close()
+
+    async def start_again(self, member):
+        """Start a daemon that was killed, at its old addresses."""
+        node = Node(member.settings)
+        await node.listen()
+        task = self._start(node.serve())
+        again = member._replace(node=node, task=task)
+        self.members[self.members.index(member)] = again
+        return again
+
     def find(self, service):
         """Return the members of a service."""
         return [m for m in self.members if m.backend.service == service]
@@ -146,7 +171,9 @@
                 await asyncio.sleep(0.01)
 
     def _start(self, work):
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.append(task)
+        return task
 
 
 def find_ports(count):
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -220,6 +220,41 @@
         self.assertTrue(all(each.whole for each in told), told)
         self.assertEqual(await self.probe(member), 503)
 
+    async def test_all_daemons_are_killed_at_once(self):
+        """Power returns to all daemons at once, beside living backend servers.
+
+        They know nothing any more; service has to be whole again in seconds, from
+        the store and the next heartbeats, and nothing runs twice.
+        """
+        asking = asyncio.create_task(self.ask(PAY._replace(retries=0), 4))
+        await self.mesh.wait_until(lambda: self.list_runs("front"))
+        killed = tuple(self.mesh.members)
+        for member in killed:
+            await self.mesh.kill(member)
+        await asking
+        for member in killed:
+            await self.mesh.start_again(member)
+        await self.mesh.wait_until(self.mesh.is_complete, 5.0)
+        told = await self.ask(BROWSE, len(self.entries))
+        self.assertTrue(all(each.whole for each in told), told)
+        runs = [run.request for run in self.list_runs("front")]
+        self.assertEqual(len(runs), len(set(runs)))
+
+    async def test_daemon_that_starts_anew_beside_a_leaving_backend_server(self):
+        """A backend server has said that it drains; then its daemon is killed.
+
+        The new daemon must not give it work before it has heard from it.
+        """
+        member, _ = self.mesh.find("deep")
+        member.backend.state = "draining"
+        await member.backend.announce()
+        await self.mesh.kill(member)
+        await self.mesh.start_again(member)
+        before = len(member.backend.runs)
+        told = [one for _ in range(6) for one in await self.ask(STATUS, 2)]
+        self.assertEqual(len(member.backend.runs), before)
+        self.assertTrue(all(each.whole for each in told), told)
+
     async def probe(self, member):
         """Return the status that the platform is told of a daemon."""
         address = member.node._settings.readiness
--- a/test/http1/test_client.py
+++ b/test/http1/test_client.py
@@ -118,6 +118,33 @@
         answer = await self.ask(lambda each: ("X-Request-Id", "2") in each.headers)
         self.assertIn(("X-Request-Id", "2"), answer.headers)
 
+    async def test_answer_before_the_body_was_read(self):
+        """A server answers before it has read a long body, and reads on later.
+
+        Bytes of another request in the place of the rest would be a request that
+        nobody sent.
+        """
+        seen = []
+
+        async def serve(reader, writer):
+            for _ in range(2):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(WHOLE % b"1")
+                await asyncio.sleep(0.02)
+                seen.append(await reader.readexactly(300_000))
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1 << 20)
+        self.addCleanup(listener.close)
+        self.pool = client.Pool(*listener.sockets[0].getsockname(), 1000)
+        self.addAsyncCleanup(self.end)
+        until = asyncio.get_running_loop().time() + 5
+        for body in (b"a" * 300_000, b"b" * 300_000):
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"
+            self.assertEqual((await self.pool.exchange(head + body, until)).status, 200)
+        await asyncio.sleep(0.1)
+        self.assertEqual([set(body) for body in seen], [set(b"a"), set(b"b")])
+
     async def test_bytes_that_are_no_answer(self):
         """A server sends something else than HTTP; nobody must get it."""
         await self.start([b"garbage\r\n\r\n"])
