--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -72,11 +72,10 @@
         service: Its service.
         slots: Requests that it works on at once.
         works: `Work` by path prefix.
-        place: Where it calls others, an "IP:PORT".
-        announce: Where it announces itself, an "IP:PORT".
+        seed: Seed of what it draws.
     """
 
-    def __init__(self, identity, service, slots, works, place, announce, seed=0):
+    def __init__(self, identity, service, slots, works, seed=0):
         self.identity = identity
         self.service = service
         self.slots = slots
@@ -92,8 +91,8 @@
         self._free = asyncio.Semaphore(slots)
         self._random = random.Random(seed)
         self._pools = {}
-        self._outbound = place
-        self._control = announce
+        self._outbound = ""
+        self._control = ""
         self._sequence = 0
         self.server = Server(self._answer, Limits())
 
@@ -141,6 +140,11 @@
             await self.announce()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def attach(self, outbound, control):
+        """Take the addresses of the daemon: for calls, and for heartbeats."""
+        self._outbound = outbound
+        self._control = control
+
     def close(self):
         """Drop all connections."""
         self.server.abort()
@@ -193,7 +197,7 @@
                 return self._seal(request, 500, "Call Failed", b"")
         self.ends.append(request)
         if self._draw(self.faults.lose):
-            raise ConnectionAbortedError("the answer is lost")
+            self._drop_connection()
         if self._draw(self.faults.fail):
             return self._seal(request, 500, "Error", b"")
         return self._seal(request, 200, "OK", request.encode().ljust(work.size, b"."))
@@ -213,6 +217,13 @@
             return False
         return answer.status == 200
 
+    def _drop_connection(self):
+        """Reset the connection of the request that is answered just now."""
+        task = asyncio.current_task()
+        for connection in tuple(self.server.connections):
+            if connection.serves(task):
+                connection.abort()
+
     def _find_work(self, target):
         for prefix, work in self.works.items():
             if target.startswith(prefix):
--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -12,6 +12,7 @@
 from . import backend, store
 
 LOCAL = "127.0.0.1"
+LISTEN_TRIES = 5
 
 
 class Service(NamedTuple):
@@ -94,20 +95,36 @@
     async def add(self, service, zone):
         """Start an instance and return its `Member`."""
         number = len(self.members)
-        ports = find_ports(4)
-        callers, control = f"{LOCAL}:{ports[0]}", f"{LOCAL}:{ports[3]}"
         own = backend.Backend(
             f"i-{service.name}-{number}",
             service.name,
             service.slots,
             service.works,
-            callers,
-            control,
             number,
         )
         port = await own.listen()
-        given = InstanceSettings(
-            instance=f"instance-{number}",
+        for _ in range(LISTEN_TRIES):
+            given = self._form_settings(f"instance-{number}", service, zone, port)
+            node = Node(given)
+            try:
+                await node.listen()
+                break
+            except OSError:
+                # Another process has taken a port between the search and now.
+                node.close()
+        callers = str(given.callers)
+        own.attach(callers, str(given.announcements))
+        task = self._start(node.serve())
+        self._start(own.keep_announcing())
+        member = Member(node, task, own, callers, given)
+        self.members.append(member)
+        return member
+
+    def _form_settings(self, instance, service, zone, port):
+        """Return settings of a daemon, on ports that are free just now."""
+        ports = find_ports(4)
+        return InstanceSettings(
+            instance=instance,
             zone=zone,
             region="r",
             service=service.name,
@@ -121,13 +138,6 @@
             drain=2.0,
             stop_grace=3.0,
         )
-        node = Node(given)
-        await node.listen()
-        task = self._start(node.serve())
-        self._start(own.keep_announcing())
-        member = Member(node, task, own, callers, given)
-        self.members.append(member)
-        return member
 
     async def kill(self, member):
         """End a daemon at once; its backend server lives on."""
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -171,7 +171,8 @@
             self._waiting[request.attempt] = future
         # A more important request may have taken the place of a waiting one,
         # which is told at once instead of when its time is over.
-        self._deliver(self._gate.expire(now))
+        if self._gate.has_displaced:
+            self._deliver(self._gate.expire(now))
         if future is None:
             return decision
         return await self._wait(request, future, decision.expires)
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -47,6 +47,8 @@
 
     def __init__(self):
         self._running = {}
+        # Running requests by deadline, in steps of `SAME_SECONDS`.
+        self._steps = {}
         self._idle_sights = collections.Counter()
         self._sole_sights = collections.Counter()
         self._entries = set()
@@ -61,10 +63,17 @@
     def start(self, attempt, running):
         """Note that a request goes into the own backend server."""
         self._running[attempt] = running
+        self._steps.setdefault(_find_step(running.deadline), {})[attempt] = running
 
     def end(self, attempt):
         """Note that it has come out."""
-        self._running.pop(attempt, None)
+        running = self._running.pop(attempt, None)
+        if running is None:
+            return
+        step = _find_step(running.deadline)
+        del self._steps[step][attempt]
+        if not self._steps[step]:
+            del self._steps[step]
 
     def learn_entries(self, names):
         """Take routes that other daemons know callers to use."""
@@ -104,10 +113,14 @@
             route: Name of the call's route.
             deadline: When the call expires, as it states itself.
         """
-        exact, possible = self._find_candidates(deadline)
+        exact = self._find_exact(deadline)
         if exact is not None:
             self._note_child(exact.route, route)
             return exact
+        earliest = deadline - SAME_SECONDS
+        possible = [
+            running for running in self._running.values() if running.deadline > earliest
+        ]
         if not possible:
             return None
         first = possible[0].route
@@ -126,16 +139,16 @@
         fitting = [running for running in possible if running.route in parents]
         return fitting or possible
 
-    def _find_candidates(self, deadline):
-        """Return the request that expires with a call, and all that may have it."""
-        earliest, latest = deadline - SAME_SECONDS, deadline + SAME_SECONDS
-        possible = [
-            running for running in self._running.values() if running.deadline > earliest
-        ]
-        near = [running for running in possible if running.deadline < latest]
-        if not near:
-            return None, possible
-        return min(near, key=lambda each: abs(each.deadline - deadline)), possible
+    def _find_exact(self, deadline):
+        """Return the running request that expires with a call, or None."""
+        nearest, distance = None, SAME_SECONDS
+        middle = _find_step(deadline)
+        for step in (middle - 1, middle, middle + 1):
+            for running in self._steps.get(step, {}).values():
+                apart = abs(running.deadline - deadline)
+                if apart < distance:
+                    nearest, distance = running, apart
+        return nearest
 
     def _note_idle(self, route):
         self._idle_sights[route] += 1
@@ -162,3 +175,7 @@
             children = self._children.get(parent, frozenset())
             if len(children) < MOST_ROUTES and route not in self._entries:
                 self._children[parent] = children | {route}
+
+
+def _find_step(deadline):
+    return int(deadline / SAME_SECONDS)
--- a/whinwinch/daemons/codec.py
+++ b/whinwinch/daemons/codec.py
@@ -28,6 +28,7 @@
         headers=_encode_headers(request.headers),
         body=request.body,
         receiver=receiver,
+        again=request.again,
     )
 
 
@@ -59,6 +60,7 @@
         via=tuple(message.via),
         headers=_decode_headers(message.headers),
         body=message.body,
+        again=message.again,
     )
 
 
@@ -75,6 +77,7 @@
         retry_after=answer.retry_after,
         deeper=answer.deeper,
         load=peer_pb2.LoadReport(**answer.load._asdict()),
+        offered=answer.offered,
     )
 
 
@@ -95,6 +98,7 @@
         retry_after=message.retry_after,
         deeper=message.deeper,
         load=_decode_load(message.load),
+        offered=message.offered,
     )
 
 
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -98,9 +98,18 @@
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 _REASONS = tuple(messages.Reason)
 _REASON_NUMBERS = {reason: number for number, reason in enumerate(_REASONS)}
+_IMPORTANCES = tuple(messages.Importance)
 _OUTCOMES = tuple(messages.Outcome)
 _OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(_OUTCOMES)}
 
+# Places of the fields that travel in another form. The tuples are taken apart by
+# place: `_replace` costs as much as the packing.
+_IMPORTANCE = messages.Request._fields.index("importance")
+_DEADLINE = messages.Request._fields.index("deadline")
+_OUTCOME = messages.Answer._fields.index("outcome")
+_REASON = messages.Answer._fields.index("reason")
+_LOAD = messages.Answer._fields.index("load")
+
 
 def encode_frame(frame, now=0.0):
     """Return the bytes of a message.
@@ -109,17 +118,17 @@
         frame: One of `KINDS`.
         now: Time of the loop's clock, for the time that a call has left.
     """
-    number = _NUMBERS[type(frame)]
-    if isinstance(frame, Call):
-        left = frame.request.deadline - now
-        request = frame.request._replace(deadline=left)
-        return msgpack.packb((number, frame.number, request))
-    if isinstance(frame, Reply):
-        answer = frame.answer._replace(
-            outcome=_OUTCOME_NUMBERS[frame.answer.outcome],
-            reason=_REASON_NUMBERS[frame.answer.reason],
-        )
-        return msgpack.packb((number, frame.number, answer))
+    kind = type(frame)
+    number = _NUMBERS[kind]
+    if kind is Call:
+        fields = list(frame.request)
+        fields[_DEADLINE] -= now
+        return msgpack.packb((number, frame.number, fields))
+    if kind is Reply:
+        fields = list(frame.answer)
+        fields[_OUTCOME] = _OUTCOME_NUMBERS[frame.answer.outcome]
+        fields[_REASON] = _REASON_NUMBERS[frame.answer.reason]
+        return msgpack.packb((number, frame.number, fields))
     return msgpack.packb((number, *frame))
 
 
@@ -155,21 +164,17 @@
 def _decode_frame(kind, fields, now):
     if kind is Call:
         number, values = fields
-        request = messages.Request(*values)
-        request = request._replace(
-            importance=messages.Importance(request.importance),
-            deadline=now + request.deadline,
-        )
-        return Call(number, request)
+        values = list(values)
+        values[_IMPORTANCE] = _IMPORTANCES[values[_IMPORTANCE]]
+        values[_DEADLINE] += now
+        return Call(number, messages.Request(*values))
     if kind is Reply:
         number, values = fields
-        answer = messages.Answer(*values)
-        answer = answer._replace(
-            outcome=_OUTCOMES[answer.outcome],
-            reason=_REASONS[answer.reason],
-            load=messages.Load(*answer.load),
-        )
-        return Reply(number, answer)
+        values = list(values)
+        values[_OUTCOME] = _OUTCOMES[values[_OUTCOME]]
+        values[_REASON] = _REASONS[values[_REASON]]
+        values[_LOAD] = messages.Load(*values[_LOAD])
+        return Reply(number, messages.Answer(*values))
     if kind is News:
         endpoint, version, entries = fields
         return News(messages.Endpoint(*endpoint), version, entries)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -229,6 +229,11 @@
             lane.queue.remove(attempt)
         return self._admit_waiting(now)
 
+    @property
+    def has_displaced(self):
+        """Whether attempts that gave way are still to be refused by `expire`."""
+        return bool(self._displaced)
+
     def expire(self, now):
         """Refuse the attempts that gave way or waited as long as they may."""
         gave_way = [
@@ -379,6 +384,9 @@
         return messages.Reason.LEVEL
 
     def _admit_waiting(self, now):
+        if not self._displaced and not self._short.queue and not self._long.queue:
+            self._control(now)
+            return ()
         decisions = list(self.expire(now))
         while (lane := self._choose_waiting_lane()) is not None:
             waiter = lane.queue.take_next()
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -50,6 +50,7 @@
         self._is_head = False
         self._accepts = _accept
         self._keep_seconds = IDLE_SECONDS
+        self._keep_text = ""
         self.uses = 0
         self.idle_until = math.inf
 
@@ -208,6 +209,10 @@
             self._waiter.set_exception(BrokenError(why))
 
     def _read_keep_alive(self, text):
+        # A server says the same in each answer.
+        if text == self._keep_text:
+            return
+        self._keep_text = text
         for part in text.split(","):
             name, _, value = part.strip().partition("=")
             if name == "timeout" and value.isdigit():
--- a/whinwinch/http1/server.py
+++ b/whinwinch/http1/server.py
@@ -168,6 +168,10 @@
         if not self._slots and not self._in_head and self._transport is not None:
             self._transport.close()
 
+    def serves(self, task):
+        """Return whether a task answers a request of this connection."""
+        return any(slot.task is task for slot in self._slots)
+
     def abort(self):
         """Drop the connection and what is under way for it."""
         if self._transport is not None:
