Print each result of an operators' command in one write

With PYTHONUNBUFFERED print writes text and line end apart; another command in the same terminal comes between.

--- a/whinwinch/operators/commands.py
+++ b/whinwinch/operators/commands.py
@@ -132,7 +132,10 @@
 
 def _print(arguments, document, text):
     """Print a result in the form asked for, at once, for pipes to see."""
-    print(json.dumps(document) if arguments.output == "json" else text, flush=True)
+    shown = json.dumps(document) if arguments.output == "json" else text
+    # Text and line end in one write: where output isn't buffered, a line of
+    # `whinwinch watch` in the same terminal would come between the two.
+    print(f"{shown}\n", end="", flush=True)
 
 
 def _format_service(service):
