--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -146,11 +146,6 @@
         """Close the idle connections."""
         self._pool.close()
 
-    @property
-    def opened(self):
-        """Connections opened to the backend server so far."""
-        return self._pool.opened
-
     def _find_obstacle(self, service):
         """Return why no request of a service can be taken, or None."""
         backend = self.backend
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -83,6 +83,33 @@
     )
 
 
+def log_answer(attempt, answer, endpoint, left, again, ground):
+    """Log what follows from an answer that isn't whole.
+
+    Args:
+        attempt: The `messages.Request` that was sent.
+        answer: Its `messages.Answer`.
+        endpoint: The `messages.Endpoint` that it was sent to.
+        left: Seconds until the deadline.
+        again: Whether it is tried again.
+        ground: Why, or why not.
+    """
+    log_decision(
+        Answered(
+            attempt.root,
+            attempt.attempt,
+            attempt.service,
+            endpoint.address,
+            answer.outcome.value,
+            answer.reason.value,
+            answer.status,
+            left,
+            again,
+            ground,
+        )
+    )
+
+
 def format_decision(decision):
     """Return the line for a decision.
 
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -72,7 +72,15 @@
             decision = retries.decide_retry(
                 attempt, answer, remaining, tries - 1, self._loop.time(), random.random
             )
-            self._log_answer(attempt, answer, choice, decision)
+            left = attempt.deadline - self._loop.time()
+            decisions.log_answer(
+                attempt,
+                answer,
+                choice.endpoint,
+                left,
+                decision.again,
+                decision.ground,
+            )
             if not decision.again:
                 return _settle(answer, may_have_run)
             if decision.delay:
@@ -146,23 +154,6 @@
         decisions.log_refusal(request, reason, retry_after, "entry")
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
-    def _log_answer(self, attempt, answer, choice, decision):
-        """Log what was decided after an answer that isn't whole."""
-        decisions.log_decision(
-            decisions.Answered(
-                attempt.root,
-                attempt.attempt,
-                attempt.service,
-                choice.endpoint.address,
-                answer.outcome.value,
-                answer.reason.value,
-                answer.status,
-                attempt.deadline - self._loop.time(),
-                decision.again,
-                decision.ground,
-            )
-        )
-
 
 def _settle(answer, may_have_run):
     """Return the last answer as it is true of the whole request.
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -51,7 +51,6 @@
         self._accepts = _accept
         self._keep_seconds = IDLE_SECONDS
         self._keep_text = ""
-        self.uses = 0
         self.idle_until = math.inf
 
     def connection_made(self, transport):
@@ -104,7 +103,6 @@
         self._is_head = is_head
         self._reset()
         self._waiter = self._loop.create_future()
-        self.uses += 1
         timer = self._loop.call_at(until, self._expire)
         self._transport.write(data)
         try:
@@ -242,7 +240,6 @@
         self._address = (host, port)
         self._most_body = most_body
         self._idle = collections.deque()
-        self.opened = 0
 
     async def exchange(self, data, until, is_head=False, accepts=_accept):
         """Send the bytes of a request and return the `messages.HttpResponse`.
@@ -283,7 +280,6 @@
         return None
 
     async def _open(self, until):
-        self.opened += 1
         latest = min(until, self._loop.time() + CONNECT_SECONDS)
         try:
             async with asyncio.timeout_at(latest):
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -316,20 +316,8 @@
         """Log what was decided after an answer; a whole one asks no decision."""
         if answer.outcome is Outcome.COMPLETED and not answer.deeper:
             return
-        decisions.log_decision(
-            decisions.Answered(
-                attempt.root,
-                attempt.attempt,
-                attempt.service,
-                choice.endpoint.address,
-                answer.outcome.value,
-                answer.reason.value,
-                answer.status,
-                attempt.deadline - self._clock(),
-                again,
-                ground,
-            )
-        )
+        left = attempt.deadline - self._clock()
+        decisions.log_answer(attempt, answer, choice.endpoint, left, again, ground)
 
     def _log_refusal(self, request, reason, retry_after):
         decisions.log_refusal(request, reason, retry_after, "entry")
