Let callers' own requests wait half of their objective; look at own routes only

Besides, levels are looked up for the routes of the own service only, not for all of a large configuration ten times a second.

--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -221,7 +221,7 @@
 
     def test_request_that_has_made_its_calls_makes_no_other(self):
         """Its connection is taken by the next request right after its last answer."""
-        for number in range(callgraph.SURE_SIGHTS):
+        for _ in range(callgraph.SURE_SIGHTS):
             self.graph.start("1", run("index", 5.0), 0.0)
             for _ in range(2):
                 made = self.graph.begin_call("queue", 21, 0.7, 0.0)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import math
 import random
 from typing import NamedTuple
@@ -24,6 +25,10 @@
 # the requests of lowest importance came late in a burst of 1.7 (worth 0.29
 # instead of 0.36 over its first 12 s, one run each).
 WAIT_SHARE = 0.25
+# A caller's own request waits here and nowhere else; what is left of its objective
+# is for the work. At a quarter 62 of 100 status checks came in time in the first 8 s
+# of a burst of 1.7, at a half 74; filings and payouts the same.
+CALLERS_WAIT_SHARE = 0.5
 # Where a route states no objective.
 USUAL_OBJECTIVE = 1.0
 # Between two tellings of levels. Four hops add up to two of these at the mean; a
@@ -107,6 +112,7 @@
         self.is_stopping = False
         self._started = self._loop.time()
         self._routes = {}
+        self._service_routes = {}
         self._publish()
 
     async def listen(self, address):
@@ -128,6 +134,7 @@
         self.table = table
         self.shares.keep(table)
         self._routes = {route.name: route for route in table.routes}
+        self._service_routes = _group_by_service(table.routes)
         timeouts = [r.timeout for r in table.routes if math.isfinite(r.timeout)]
         self.graph.horizon = self._started + max(timeouts, default=0.0)
         self._publish()
@@ -251,7 +258,7 @@
     def _find_wait(self, request):
         route = self._routes.get(request.call)
         objective = route.objective if route is not None else USUAL_OBJECTIVE
-        return WAIT_SHARE * objective
+        return (WAIT_SHARE if request.via else CALLERS_WAIT_SHARE) * objective
 
     async def keep_levels(self):
         """Tell the connected daemons the levels of the own routes, for ever."""
@@ -266,14 +273,17 @@
 
     def _list_levels(self):
         """Yield pairs of name and level for the routes to the own backend server."""
+        for name in self._find_own_routes():
+            level = max(self.guard.find_level(name), self._find_below(name))
+            if level > 0.0:
+                yield name, level
+
+    def _find_own_routes(self):
+        """Return the names of the routes that lead to the own backend server."""
         backend = self.guard.backend
         if backend is None:
-            return
-        for name, route in self._routes.items():
-            if any(part.service == backend.service for part in route.parts):
-                level = max(self.guard.find_level(name), self._find_below(name))
-                if level > 0.0:
-                    yield name, level
+            return ()
+        return self._service_routes.get(backend.service, ())
 
     def _find_below(self, name):
         """Return the highest admission level that calls of a route's requests meet."""
@@ -291,6 +301,15 @@
         )
 
 
+def _group_by_service(routes):
+    """Return the names of routes by the services that they lead to."""
+    names = collections.defaultdict(list)
+    for route in routes:
+        for service in {part.service for part in route.parts}:
+            names[service].append(route.name)
+    return dict(names)
+
+
 def _refuse_forgotten(request):
     """Answer an attempt that may have run and is no longer remembered."""
     return build_failure(request, Outcome.UNKNOWN, Reason.ABANDONED, 502)
