Keep the importance that a request's first calls were given

Cause: a call that may belong to several requests goes with an importance between theirs; once its deadline told that it was one of the lowest, the last calls of the request went as that and were shed, with all that was done for the first.

--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -219,6 +219,20 @@
         self.assertEqual(again.run.request.root, "pay")
         self.assertEqual(again.importance, 3)
 
+    def test_calls_of_a_request_don_t_become_less_important(self):
+        """Browsing's first call may have been a payout's; its next one can't be.
+
+        Sent on as browsing's again, it would be shed after the first was served.
+        """
+        self.graph.start("b", run("index", 0.75, 1, "browse"), 0.0)
+        self.graph.start("p", run("index", 2.0, 3, "pay"), 0.0)
+        first = self.graph.begin_call("queue", 21, 0.7, 0.0)
+        self.assertEqual(first.importance, 2)
+        self.graph.end_call(first, 21, 0.1)
+        again = self.graph.begin_call("queue", 21, 0.7495, 0.1)
+        self.assertEqual(again.run.request.root, "browse")
+        self.assertEqual(again.importance, 2)
+
     def test_request_that_has_made_its_calls_makes_no_other(self):
         """Its connection is taken by the next request right after its last answer."""
         for _ in range(callgraph.SURE_SIGHTS):
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -79,6 +79,7 @@
     Attributes:
         request: `Running`.
         started: When it went in.
+        importance: What its calls get.
         made: How many calls it has made.
         out: How many of them are out.
         called: Route of its latest call, "" before the first.
@@ -89,6 +90,7 @@
     __slots__ = (
         "called",
         "has_ended",
+        "importance",
         "is_sure",
         "made",
         "out",
@@ -99,6 +101,7 @@
     def __init__(self, request, started):
         self.request = request
         self.started = started
+        self.importance = request.importance
         self.made = 0
         self.out = 0
         self.called = ""
@@ -280,9 +283,13 @@
         is_longest = self._is_longest(route, deadline - now)
         if not is_longest:
             same = self._find_same(deadline)
-        parent = self._find_last(route, connection, now)
-        if parent is None or (not is_longest and parent.run not in same):
+        last = self._find_last(route, connection, now)
+        if last is not None and (is_longest or last.run in same):
+            parent = last
+        else:
             parent = self._find_nearest(same, route, deadline)
+            if parent is not None and last is not None:
+                parent = _carry(parent.run, last.importance)
         if parent is None:
             if is_own:
                 self._note_stray(route)
@@ -371,7 +378,7 @@
         run = min(same, key=lambda run: abs(run.request.deadline - expected))
         run.is_sure = True
         self._note_child(run.request.route, route)
-        return Parent(run, run.request.importance)
+        return Parent(run, run.importance)
 
     def _guess(self, route, deadline, now):
         """Return a parent that may have made a call, or None.
@@ -396,10 +403,10 @@
         young = [run for run in possible if self._is_young(run, now)]
         if young:
             run = min(young, key=lambda run: (run.made, self._measure_haste(run, now)))
-            return Parent(run, _find_middle(young))
+            return _guess_parent(run, young)
         idle = [run for run in possible if not run.out] or possible
         self._turn += 1
-        return Parent(idle[self._turn % len(idle)], _find_middle(idle))
+        return _guess_parent(idle[self._turn % len(idle)], idle)
 
     def _is_young(self, run, now):
         """Return whether a run may be about to make its first call.
@@ -447,10 +454,25 @@
     return sights >= max(SURE_SIGHTS, SURE_SHARE * sum(parents.values()))
 
 
-def _find_middle(runs):
-    """Return the importance between those of some runs, the higher of two."""
-    importances = [int(run.request.importance) for run in runs]
-    return math.ceil((min(importances) + max(importances)) / 2.0)
+def _carry(run, importance):
+    """Return a run as parent, with some importance at least from now on.
+
+    A request whose first calls went as more important than it is keeps that. Its
+    last calls would be shed otherwise, with all that was done for the first: half
+    of the requests of lowest importance that were let in failed so.
+    """
+    run.importance = max(run.importance, importance)
+    return Parent(run, run.importance)
+
+
+def _guess_parent(run, possible):
+    """Return one of the runs that may have made a call as its parent.
+
+    Its importance is between theirs, the higher of two.
+    """
+    importances = [int(other.request.importance) for other in possible]
+    middle = math.ceil((min(importances) + max(importances)) / 2.0)
+    return _carry(run, middle)._replace(importance=middle)
 
 
 def _find_step(deadline):
