--- a/bench/ways.py
+++ b/bench/ways.py
@@ -174,7 +174,7 @@
     """Return the `Round` tuples of each way, by its name."""
     opened = {name: await open_way() for name, open_way in WAYS.items()}
     results = {name: [] for name in WAYS}
-    for name, (call, _) in opened.items():
+    for call, _ in opened.values():
         await play_round(call, calls // 4, at_once)
     for _ in range(rounds):
         for name, (call, _) in opened.items():
