--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -4,6 +4,7 @@
 import unittest
 import unittest.mock
 
+from whinwinch import events
 from whinwinch.daemons import exchange, frames, links
 from whinwinch.messages import (
     Answer,
@@ -99,6 +100,24 @@
         self.assertTrue(all(each.outcome is Outcome.COMPLETED for each in answers))
         self.assertEqual(len(self.ran), 5)
 
+    async def test_lost_and_regained_connections_are_logged(self):
+        """A switch resets connections; on-call has to see which, and for how long."""
+        written = unittest.mock.Mock(lost=0)
+        events.install(written)
+        self.addCleanup(events.install, events.Silence())
+        await self.peer.call(build_request(1))
+        self.hold.clear()
+        asking = asyncio.create_task(self.peer.call(build_request(2)))
+        await asyncio.sleep(0.02)
+        for session in tuple(self.called.sessions):
+            session.transport.abort()
+        await asyncio.sleep(0.2)
+        self.hold.set()
+        await asking
+        lines = [call.args[1] for call in written.sample.call_args_list]
+        self.assertEqual([line.state for line in lines], ["lost", "regained"])
+        self.assertEqual([line.calls for line in lines], [1, 1])
+
     async def test_answer_lost_with_its_connection_is_given_again(self):
         self.hold.clear()
         call = asyncio.create_task(self.peer.call(build_request(1)))
--- /dev/null
+++ b/test/platform/test_followers.py
@@ -0,0 +1,85 @@
+"""Tests of what follows the store."""
+
+import asyncio
+import unittest
+
+from whinwinch import events
+from whinwinch.platform import followers
+from whinwinch.platform.store import Outcome, Page, Record, StoreError
+
+
+class Kept:
+    """Keeps the events written to it."""
+
+    lost = 0
+
+    def __init__(self):
+        self.written = []
+
+    def write(self, kind, event):
+        self.written.append((kind, event))
+
+    sample = write
+
+
+class FailingStore:
+    """Answers what it is given, one after the other, then never again."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.reads = []
+
+    async def read_newest(self, topic):
+        return await self._answer(("newest", topic))
+
+    async def read_on(self, topic, offset, wait):
+        return await self._answer(("on", topic, offset))
+
+    async def _answer(self, read):
+        self.reads.append(read)
+        if not self._answers:
+            await asyncio.Event().wait()
+        answer = self._answers.pop(0)
+        if isinstance(answer, StoreError):
+            raise answer
+        return answer
+
+
+class FollowTest(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, *answers):
+        self.kept, self.taken = Kept(), []
+        self.store = FailingStore(*answers)
+        events.install(self.kept)
+        self.addCleanup(events.install, events.Silence())
+        task = asyncio.create_task(
+            followers.follow_topic(self.store, "keyed.op", self.taken.extend)
+        )
+        async with asyncio.timeout(5.0):
+            while len(self.store.reads) <= len(answers):
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    async def test_store_that_is_away_is_logged_once_each_way(self):
+        """The store falls silent for a while.
+
+        Without these two lines nobody could tell afterwards why a change came late.
+        """
+        error = StoreError(Outcome.UNKNOWN, "no answer in time")
+        record = Record("config", b"{}")
+        await self.follow(Page((record,), 7), error, error, Page((), 7))
+        lines = [event for kind, event in self.kept.written if kind == "dependency"]
+        self.assertEqual([line.state for line in lines], ["lost", "regained"])
+        self.assertEqual(lines[0].problem, "no answer in time")
+        self.assertGreater(lines[1].seconds, 0.0)
+        self.assertEqual(self.taken, [record])
+
+    async def test_history_that_is_gone_is_read_anew(self):
+        gone = StoreError(Outcome.GONE, "status 410")
+        await self.follow(Page((), 7), gone, Page((), 9))
+        self.assertEqual(
+            [read[0] for read in self.store.reads], ["newest", "on", "newest", "on"]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -14,6 +14,7 @@
 
 from absl import logging
 
+from .. import events
 from ..messages import Outcome, Reason, build_failure
 from . import frames
 
@@ -165,12 +166,7 @@
         self._link = None
         self._lost = self._loop.time()
         self._next_try = 0.0
-        logging.info(
-            "link to %s lost, %d calls out: %s",
-            self.address,
-            len(self._pending),
-            exc or "closed",
-        )
+        self._log("lost", str(exc or "closed"), calls=len(self._pending))
         if self._pending:
             self.connect()
 
@@ -239,13 +235,20 @@
         self.daemon = hello.daemon
         self._link = link
         self._pause = 0.0
+        if self._lost:
+            seconds = self._loop.time() - self._lost
+            self._log("regained", calls=len(self._pending), seconds=seconds)
         for number, pending in sorted(self._pending.items()):
             self._link.send(frames.Call(number, pending.request))
 
+    def _log(self, state, problem="", **more):
+        name = f"daemon {self.address}"
+        event = events.Dependency(name, state, problem, **more)
+        events.sample("dependency", event)
+
     def _give_up(self, why):
-        logging.info(
-            "gave up %d calls to %s: %s", len(self._pending), self.address, why
-        )
+        if self._pending:
+            self._log("lost", f"calls given up: {why}", calls=len(self._pending))
         for pending in self._pending.values():
             if not pending.future.done():
                 pending.future.set_result(
--- a/whinwinch/events.py
+++ b/whinwinch/events.py
@@ -119,6 +119,24 @@
     text: str
 
 
+class Dependency(NamedTuple):
+    """An event: what this daemon relies on was lost, or is back.
+
+    Attributes:
+        name: What it is.
+        state: "lost" or "regained".
+        problem: Why it was lost, "" when it is back.
+        calls: Calls that were out to it.
+        seconds: How long it was lost, 0 when it has just been.
+    """
+
+    name: str
+    state: str
+    problem: str = ""
+    calls: int = 0
+    seconds: float = 0.0
+
+
 class LogHolder:
     """Holds the log of the process; tasks all over the package write to it."""
 
--- a/whinwinch/platform/followers.py
+++ b/whinwinch/platform/followers.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from .. import events
 from .store import Outcome, StoreError
 
 # Pauses after a failed call: half as long again each time, with jitter, so that
@@ -30,7 +31,8 @@
             given.
         wait: Seconds that a read waits for a new record.
     """
-    offset, pause, healthy = None, FIRST_PAUSE, True
+    offset, pause, lost = None, FIRST_PAUSE, None
+    clock = asyncio.get_running_loop().time
     while True:
         try:
             if offset is None:
@@ -42,17 +44,22 @@
             if page.skipped:
                 logging.warning("%d records of %s can't be read", page.skipped, topic)
             offset, pause = page.end, FIRST_PAUSE
-            if not healthy:
-                logging.info("store answers again: topic %s", topic)
-            healthy = True
+            if lost is not None:
+                _log_store(topic, "regained", seconds=clock() - lost)
+            lost = None
         except StoreError as error:
             if error.outcome is Outcome.GONE:
                 # Only the newest record of each key is left.
                 logging.info("history of %s is gone, reading the newest", topic)
                 offset = None
                 continue
-            if healthy:
-                logging.warning("store doesn't answer: %s: %s", topic, error)
-            healthy = False
+            if lost is None:
+                _log_store(topic, "lost", problem=str(error))
+                lost = clock()
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(1.5 * pause, LONGEST_PAUSE)
+
+
+def _log_store(topic, state, **more):
+    name = f"store, topic {topic}"
+    events.write("dependency", events.Dependency(name, state, **more))
