Explain a failed request from daemons' logs: whinwinch explain

A failure that a backend server had made itself left no line at all, so nothing led from a payout's identifier to the endpoint that failed it; now its entry logs it. emulator.run writes the daemons' lines to a file, loses answers on demand and names a request of each kind of failure.

--- a/emulator/run.py
+++ b/emulator/run.py
@@ -2,10 +2,20 @@
 
 import argparse
 import asyncio
+import os
 import sys
 import time
 
-from . import load, mesh, press
+from whinwinch import events
+
+from . import backend, caller, load, mesh, press
+
+# The last status that a caller was told, by what it means to it.
+FAILURES = {
+    "refused": caller.PROMISES,
+    "of unknown outcome": frozenset({502}),
+    "failed further down": frozenset({500, 504}),
+}
 
 
 def main(arguments=None):
@@ -14,6 +24,10 @@
     parser.add_argument("--seconds", type=float, default=5.0, help="of each phase")
     parser.add_argument("--burst", type=float, default=4.0, help="times the usual")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--lose", type=float, default=0.0, help="share of runs whose answer is lost"
+    )
+    parser.add_argument("--log", metavar="FILE", help="for the daemons' log lines")
     parser.add_argument("--profile", action="store_true", help="where the time goes")
     options = parser.parse_args(arguments)
     if options.profile:
@@ -34,7 +48,12 @@
         load.Phase(options.seconds, options.burst),
         load.Phase(options.seconds),
     )
+    if options.log:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        events.install(events.Log(os.open(options.log, flags, 0o644)))
     async with mesh.Mesh(press.SERVICES, press.CONFIGURATION) as running:
+        for member in running.members:
+            member.backend.faults = backend.Faults(lose=options.lose)
         entries = [member.callers for member in running.members]
         began, used = time.monotonic(), time.process_time()
         results = await load.play(entries, press.FLOWS, phases, options.seed)
@@ -44,6 +63,7 @@
     for number, phase in enumerate(phases):
         print(f"\nphase {number}: {phase.factor:g} times the usual load")
         print_table(results, number)
+    print_examples(results)
     cost = 1000 * used / max(1, runs)
     print(f"\n{len(results)} requests, {runs} runs in {elapsed:.1f} s")
     print(f"processor time of all parts together: {cost:.2f} ms a run")
@@ -61,5 +81,15 @@
         )
 
 
+def print_examples(results):
+    """Print a request of each kind of failure, for `whinwinch explain`."""
+    for name, statuses in FAILURES.items():
+        for result in results:
+            told = result.told
+            if not told.whole and told.statuses[-1] in statuses:
+                print(f"{name}: {result.flow} {told.requests[-1]}")
+                break
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
-from whinwinch import directory, forwarding, levels, messages, placement
+from whinwinch import directory, events, forwarding, levels, messages, placement
 from whinwinch.messages import Answer, Endpoint, Importance, Outcome, Reason
 
 OWN = "own:1"
@@ -22,8 +23,10 @@
 
     async def call(self, request):
         self.calls.append(request)
-        outcome, reason, offered = self.answers.pop(0) if self.answers else DONE
-        return Answer(request.attempt, outcome, reason, offered=offered)
+        answer = self.answers.pop(0) if self.answers else DONE
+        outcome, reason, offered, *status = answer
+        made = Answer(request.attempt, outcome, reason, offered=offered)
+        return made._replace(status=status[0]) if status else made
 
 
 class FakePeers(dict):
@@ -43,6 +46,7 @@
 SHED = (Outcome.NOT_RUN, Reason.SHED, True)
 FULL = (Outcome.NOT_RUN, Reason.QUEUE, False)
 BROKEN = (Outcome.UNKNOWN, Reason.BROKEN, True)
+FAILED = (Outcome.COMPLETED, Reason.NONE, True, 500)
 
 
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
@@ -138,6 +142,19 @@
         attempts = [call.attempt for call in self.calls]
         self.assertEqual(len(attempts), len(set(attempts)))
 
+    async def test_failure_of_the_backend_server_is_logged(self):
+        """A payout fails with 500, and its caller has nothing but its identifier."""
+        written = unittest.mock.Mock(lost=0)
+        events.install(written)
+        self.addCleanup(events.install, events.Silence())
+        answer = await self.build([FAILED]).serve(self.request(), 2)
+        self.assertEqual(answer.status, 500)
+        ((kind, line),) = [call.args for call in written.sample.call_args_list]
+        self.assertEqual(
+            (kind, line.endpoint, line.status), ("answered", "peer:0", 500)
+        )
+        self.assertFalse(line.again)
+
     async def test_no_endpoint(self):
         answer = await self.build().serve(self.request(), 2)
         self.assertEqual(answer.reason, Reason.NO_ENDPOINT)
--- a/whinwinch/commands.py
+++ b/whinwinch/commands.py
@@ -62,6 +62,7 @@
     _add_status(commands)
     _add_drain(commands)
     _add_replay(commands)
+    _add_explain(commands)
     return parser
 
 
@@ -155,6 +156,18 @@
     parser.set_defaults(run=run_replay)
 
 
+def _add_explain(commands):
+    summary = "tell from daemons' logs why a request failed"
+    parser = commands.add_parser("explain", help=summary, description=summary)
+    parser.add_argument(
+        "identifier", metavar="ID", help="of the request, as its caller gave it"
+    )
+    parser.add_argument(
+        "logs", metavar="LOG", nargs="+", help="file of structured log lines"
+    )
+    parser.set_defaults(run=run_explain)
+
+
 def _add_operator_command(commands, name, summary, run):
     parser = commands.add_parser(name, help=summary, description=summary)
     parser.add_argument(
@@ -192,3 +205,19 @@
         raise UserError(str(error)) from error
     print(replay.text)
     return replay.code
+
+
+def run_explain(arguments, environment):
+    """Tell why a request failed."""
+    del environment
+    from . import explanations
+
+    try:
+        logs = explanations.read_logs(arguments.logs)
+    except OSError as error:
+        raise UserError(str(error)) from error
+    explanation = explanations.explain(logs, arguments.identifier)
+    print(explanations.format_explanation(explanation, arguments.identifier))
+    if logs.unreadable:
+        print(f"{logs.unreadable} lines could not be read.")
+    return EXIT_OK if explanation.lines else EXIT_FAILED
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -15,6 +15,8 @@
 # When a caller may come back that found no endpoint at all: a heartbeat brings
 # one back within a second or two.
 ABSENT_RETRY_AFTER = 0.5
+# HTTP statuses from here on say that the server failed.
+FIRST_FAILURE = 500
 
 
 class Forwarder:
@@ -66,6 +68,7 @@
             offered += answer.offered or answer.outcome is Outcome.UNKNOWN
             tries += 1
             if answer.outcome is Outcome.COMPLETED:
+                self._log_failure(attempt, answer, choice.endpoint)
                 return answer
             open_endpoints = self._count_open(request.service, tried)
             remaining = min(open_endpoints, most_endpoints - offered)
@@ -86,6 +89,18 @@
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
+    def _log_failure(self, attempt, answer, endpoint):
+        """Log a failure of the backend server, which is passed on as it is.
+
+        Its caller knows the identifier only; without this line nothing would tell
+        which endpoint had failed it.
+        """
+        if answer.status < FIRST_FAILURE:
+            return
+        left = attempt.deadline - self._loop.time()
+        ground = "the backend server failed it"
+        decisions.log_answer(attempt, answer, endpoint, left, False, ground)
+
     def _choose(self, request, tried):
         """Choose an endpoint; the own one while it has room, to save a hop."""
         own = self._own
