--- a/emulator/run.py
+++ b/emulator/run.py
@@ -82,9 +82,9 @@
 
 
 def print_examples(results):
-    """Print a request of each kind of failure, for `whinwinch explain`."""
+    """Print the last request of each kind of failure, for `whinwinch explain`."""
     for name, statuses in FAILURES.items():
-        for result in results:
+        for result in reversed(results):
             told = result.told
             if not told.whole and told.statuses[-1] in statuses:
                 print(f"{name}: {result.flow} {told.requests[-1]}")
