--- a/test/failures/test_input.py
+++ b/test/failures/test_input.py
@@ -1,5 +1,6 @@
 """Bad input from callers and backend servers: a clear error, nothing lost."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -27,7 +28,10 @@
             sender.settimeout(meshes.GENEROUS)
             sender.sendall(data)
             if ends:
-                sender.shutdown(socket.SHUT_WR)
+                # The daemon may have answered and closed already: nothing can be
+                # shut then, and what it has answered is still to be read.
+                with contextlib.suppress(OSError):
+                    sender.shutdown(socket.SHUT_WR)
             answer = http.client.HTTPResponse(sender)
             try:
                 answer.begin()
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -66,6 +66,18 @@
             chosen = place.choose(REQUEST, (own, far), 0.01 * number)
             self.assertEqual(chosen.endpoint, own)
 
+    def test_endpoint_that_never_succeeded_is_set_aside_at_once(self):
+        """An endpoint comes up broken and fails whatever it gets, at once.
+
+        Judged only after four failures, it would cost each daemon that many.
+        """
+        place = placement.Placement("a", random.Random(7))
+        place.observe("d0", answer(status=500), 0.01, 0.0)
+        chosen = {
+            place.choose(REQUEST, ENDPOINTS, 0.0).endpoint.daemon for _ in range(60)
+        }
+        self.assertNotIn("d0", chosen)
+
     def test_failures_behind_all_endpoints_set_none_aside(self):
         """A service deeper down fails, and with it every endpoint of this one.
 
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -94,6 +94,8 @@
         self.answers = 0
         self._failing = 0.0
         self._failing_time = now
+        self._has_succeeded = False
+        self._failures = 0
         self.report = messages.Load()
         self.reported = -math.inf
         self.full = -math.inf
@@ -109,10 +111,19 @@
         return self._failing * math.exp(-(now - self._failing_time) / FAILING_SECONDS)
 
     def note_failing(self, failed, now):
-        """Count an answer that failed or didn't."""
+        """Count an answer that failed or didn't.
+
+        One that has never succeeded is set aside after its first failure: it
+        fails fast, so each entry would lose several requests to it before the
+        even count shows that.
+        """
         before = self.failing(now)
         self._failing = before + FAILING_WEIGHT * (failed - before)
         self._failing_time = now
+        self._has_succeeded = self._has_succeeded or not failed
+        if not self._has_succeeded:
+            self._failures += 1
+            self._failing = max(self._failing, 1.0 - 0.5**self._failures)
 
     def forget_slowness(self, now):
         """Let what was seen of the latency count less as time passes."""
