Say once when a backend server failed, and how a daemon is replaced in tests

The check of the status against 500 stood in five places, one of them with a constant of its own; it is a property of the answer now, as is whether the backend server has done what was asked. The guard worked that out twice for each attempt. Two tests of restarts share the steps of replacing a daemon.

--- a/test/failures/test_stops.py
+++ b/test/failures/test_stops.py
@@ -90,12 +90,7 @@
         """
         load = Load(self, self.entries)
         for node in self.endpoints:
-            daemon = self.find_daemon(node)
-            self.signal(node, signal.SIGTERM)
-            self.assertEqual(0, daemon.popen.wait(meshes.GENEROUS))
-            self.running.forget(daemon)
-            self.restart(node)
-            self.wait_until("the new daemon is ready", lambda n=node: self.is_ready(n))
+            self.replace_daemon(node)
             self.wait_until("its endpoint serves", lambda n=node: self.serves(n))
         self.assert_all_whole(load.end())
 
@@ -111,14 +106,18 @@
             self.wait_until(
                 "callers are served", lambda n=seen: len(load.replies) > n + CALLERS
             )
-            daemon = self.find_daemon(node)
-            self.signal(node, signal.SIGTERM)
-            self.assertEqual(0, daemon.popen.wait(meshes.GENEROUS))
-            self.running.forget(daemon)
-            self.restart(node)
-            self.wait_until("the new daemon is ready", lambda n=node: self.is_ready(n))
+            self.replace_daemon(node)
         self.assert_all_whole(load.end())
 
+    def replace_daemon(self, node):
+        """Stop a daemon as planned and start it again; return when it is ready."""
+        daemon = self.find_daemon(node)
+        self.signal(node, signal.SIGTERM)
+        self.assertEqual(0, daemon.popen.wait(meshes.GENEROUS))
+        self.running.forget(daemon)
+        self.restart(node)
+        self.wait_until("the new daemon is ready", lambda: self.is_ready(node))
+
     def serves(self, node):
         return self.call(node, "royalties/x").status == 200
 
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -218,7 +218,7 @@
     def _leave(self, request, answer, started):
         now = self._clock()
         ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
-        succeeded = ran and answer.outcome is Outcome.COMPLETED and answer.status < 500
+        succeeded = answer is not None and answer.succeeded
         with self._lock:
             woken = self._gate.finish(
                 request.attempt, now, now - started if ran else None, succeeded
@@ -282,7 +282,7 @@
         with self._ledger as ledger:
             unused = ledger.close(request.attempt)
         answer = answer._replace(unused=unused, load=messages.Load(below=below.level))
-        if answer.status < 500 or not below.refused:
+        if not answer.is_server_error or not below.refused:
             return answer
         return answer._replace(
             deeper=True, reason=Reason.DEEPER, retry_after=below.retry_after
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -255,17 +255,16 @@
         finally:
             self.running -= 1
             answered = answer is not None and answer.outcome is not Outcome.UNKNOWN
-            whole = _is_whole(answer)
+            whole = answer is not None and answer.succeeded
             self._watch.end(request.attempt, answered, whole)
-            self._leave(request, answer, started)
+            self._leave(request, answer, started, whole)
         return answer._replace(load=self.load(request))
 
-    def _leave(self, request, answer, started):
+    def _leave(self, request, answer, started, whole):
         """Free the slot, and count the service time where it tells something."""
         now = self._loop.time()
         ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
         taken = now - started if ran else None
-        whole = _is_whole(answer)
         self._deliver(self._gate.finish(request.attempt, now, taken, whole))
 
     async def _forward(self, request):
@@ -308,13 +307,6 @@
         return answer._replace(load=self.load(request))
 
 
-def _is_whole(answer):
-    """Return whether the backend server has done all that was asked of it."""
-    if answer is None or answer.outcome is not Outcome.COMPLETED:
-        return False
-    return answer.status < 500
-
-
 def _build_not_run(request, reason, retry_after=0.0):
     return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -15,8 +15,6 @@
 # When a caller may come back that found no endpoint at all: a heartbeat brings
 # one back within a second or two.
 ABSENT_RETRY_AFTER = 0.5
-# HTTP statuses from here on say that the server failed.
-FIRST_FAILURE = 500
 
 
 class Forwarder:
@@ -95,7 +93,7 @@
         Its caller knows the identifier only; without this line nothing would tell
         which endpoint had failed it.
         """
-        if answer.status < FIRST_FAILURE:
+        if not answer.is_server_error:
             return
         left = attempt.deadline - self._loop.time()
         ground = "the backend server failed it"
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -6,6 +6,8 @@
 import os
 from typing import NamedTuple
 
+# HTTP statuses from here on say that the server failed.
+FIRST_SERVER_ERROR = 500
 IDENTIFIER_BYTES = 16
 HASH_BYTES = 7
 HASHES = float(1 << 8 * HASH_BYTES)
@@ -151,6 +153,16 @@
     load: Load = Load()
     offered: bool = False
 
+    @property
+    def is_server_error(self):
+        """Whether its status says that the backend server failed."""
+        return self.status >= FIRST_SERVER_ERROR
+
+    @property
+    def succeeded(self):
+        """Whether the backend server has done what was asked of it."""
+        return self.outcome is Outcome.COMPLETED and not self.is_server_error
+
 
 class Endpoint(NamedTuple):
     """A backend server as the other daemons know it.
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -380,4 +380,4 @@
         return False
     if answer.outcome is messages.Outcome.UNKNOWN:
         return True
-    return answer.status >= 500
+    return answer.is_server_error
