Wait for what two tests of connections check

The deadline of 0.05 s was over before the first connection stood, so "not run" was true; and the backend server had not yet seen its caller's connection close. Both now wait for the event; what is checked is the same.

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -121,6 +121,7 @@
         for task in running:
             task.cancel()
         await self.wait_until(lambda: not self.guard.running)
+        await self.wait_until(lambda: not self.backend.connections)
         self.hold.set()
         await asyncio.sleep(0.02)
         self.assertEqual(self.ended, [])
--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -185,6 +185,8 @@
         self.assertEqual(self.cancelled, ["a1"])
 
     async def test_no_answer_by_the_deadline(self):
+        # Connected before: else the time may be over before anything is sent.
+        await self.peer.call(build_request(0))
         self.hold.clear()
         answer = await self.peer.call(build_request(1, 0.05))
         self.assertEqual(answer.outcome, Outcome.UNKNOWN)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -13,9 +13,10 @@
 
 from absl import logging
 
-from .. import callgraph, decisions, gate, messages, repeats
+from .. import callgraph, decisions, gate, repeats
 from ..http1 import client
 from ..messages import Outcome, Reason, build_failure
+from . import slots
 
 # The backend server answers by its deadline itself; its word is worth a little
 # more time than ours, which can't say whether it ran.
@@ -81,8 +82,7 @@
         self._repeats = repeats.RepeatBudget(repeat_ratio)
         self._find_wait = find_wait
         self._watch = watch
-        self._gate = None
-        self._waiting = {}
+        self._slots = slots.Slots(NO_SHARES)
         self._detached = set()
         self.backend = None
         self.is_stopping = False
@@ -94,37 +94,31 @@
         What waits is refused as soon as the backend server leaves, and can then
         be tried elsewhere.
         """
-        now = self._loop.time()
         before = self.backend
         self.backend = backend
         if backend is None or backend.leaving:
-            self.refuse_waiting()
+            self._slots.refuse_waiting()
             return
         if before is None or before.identity != backend.identity:
             # Kept connections lead to the one before.
             self._pool.close()
-            self._gate = gate.Gate(backend.slots, now, NO_SHARES)
+            self._slots.open(backend.slots)
         elif before.slots != backend.slots:
-            self._deliver(self._gate.resize(backend.slots, now))
+            self._slots.resize(backend.slots)
 
     def has_room(self, service):
         """Return whether a request for a service would be admitted at once."""
-        if self._find_obstacle(service) is not None:
-            return False
-        load = self._gate.load(self._loop.time())
-        return not load.waiting and load.in_service < load.limit
+        return self._find_obstacle(service) is None and self._slots.has_room
 
     def load(self, request=None):
         """Return the load of the backend server as the gate sees it."""
-        if self._gate is None:
-            return messages.Load()
-        return self._gate.load(self._loop.time(), request)
+        return self._slots.load(request)
 
     def find_level(self, route):
         """Return the admission level that requests of a route meet here."""
         if self.backend is None or self._find_obstacle(self.backend.service):
             return 0.0
-        return self._gate.find_level(route, self._loop.time())
+        return self._slots.find_level(route)
 
     async def serve(self, request):
         """Serve one attempt and return its answer."""
@@ -137,11 +131,16 @@
             self._repeats.note_first()
         elif not self._repeats.take():
             return self._refuse(request, Reason.REPEATS, 0.0)
-        decision = await self._decide(request)
+        decision = await self._slots.decide(request, self._find_wait(request))
         if decision.verdict is not gate.Verdict.ADMIT:
             return self._refuse(request, decision.reason, decision.retry_after)
         return await self._run_admitted(request)
 
+    def stop(self):
+        """Take no new work; what waits can be tried elsewhere."""
+        self.is_stopping = True
+        self._slots.refuse_waiting()
+
     def close(self):
         """Close the idle connections."""
         self._pool.close()
@@ -155,75 +154,6 @@
             return Reason.NO_ENDPOINT
         return Reason.LEAVING if backend.leaving else None
 
-    async def _decide(self, request):
-        """Return the gate's decision, after a wait where it says so."""
-        now = self._loop.time()
-        self._gate.limit_wait(self._find_wait(request))
-        decision = self._gate.offer(request, now)
-        future = None
-        if decision.verdict is gate.Verdict.WAIT:
-            future = self._loop.create_future()
-            self._waiting[request.attempt] = future
-        # A more important request may have taken the place of a waiting one,
-        # which is told at once instead of when its time is over.
-        if self._gate.has_displaced:
-            self._deliver(self._gate.expire(now))
-        if future is None:
-            return decision
-        return await self._wait(request, future, decision.expires)
-
-    async def _wait(self, request, future, expires):
-        timer = self._loop.call_at(expires, self._expire, request)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self._abandon(request, future)
-            raise
-        finally:
-            timer.cancel()
-            self._waiting.pop(request.attempt, None)
-
-    def _expire(self, request):
-        """Refuse a request that has waited as long as it may."""
-        self._deliver(self._gate.expire(self._loop.time()))
-        future = self._waiting.get(request.attempt)
-        if future is not None and not future.done():
-            self._withdraw(request)
-            future.set_result(
-                gate.Decision(
-                    request.attempt, gate.Verdict.REFUSE, Reason.DEADLINE, 0.0
-                )
-            )
-
-    def _abandon(self, request, future):
-        """Give back the place of a request that nobody waits for any more."""
-        if future.cancelled():
-            self._withdraw(request)
-        elif future.result().verdict is gate.Verdict.ADMIT:
-            now = self._loop.time()
-            self._deliver(self._gate.finish(request.attempt, now, None, False))
-
-    def _withdraw(self, request):
-        self._deliver(self._gate.withdraw(request.attempt, self._loop.time()))
-
-    def _deliver(self, decided):
-        """Hand the gate's decisions to the requests that wait for them."""
-        for decision in decided:
-            future = self._waiting.get(decision.attempt)
-            if future is not None and not future.done():
-                future.set_result(decision)
-
-    def refuse_waiting(self):
-        """Refuse what waits, so that it is tried elsewhere at once."""
-        for attempt, future in tuple(self._waiting.items()):
-            if not future.done():
-                self._deliver(self._gate.withdraw(attempt, self._loop.time()))
-                refusal = gate.Decision(
-                    attempt, gate.Verdict.REFUSE, Reason.LEAVING, 0.0
-                )
-                if not future.done():
-                    future.set_result(refusal)
-
     async def _run_admitted(self, request):
         """Run an admitted attempt; one that can't be repeated runs to its end.
 
@@ -262,10 +192,9 @@
 
     def _leave(self, request, answer, started, whole):
         """Free the slot, and count the service time where it tells something."""
-        now = self._loop.time()
         ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
-        taken = now - started if ran else None
-        self._deliver(self._gate.finish(request.attempt, now, taken, whole))
+        taken = self._loop.time() - started if ran else None
+        self._slots.leave(request, taken, whole)
 
     async def _forward(self, request):
         """Hand the attempt to the backend server; never raises for the network."""
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -60,7 +60,8 @@
         self.transport = transport
         self._exchange.sessions.add(self)
         self.send(self._exchange.hello)
-        self.send(self._exchange.news)
+        if self._exchange.news is not None:
+            self.send(self._exchange.news)
 
     def connection_lost(self, exc):
         """Keep what runs for a while: the caller may come back."""
@@ -86,6 +87,7 @@
 
     def _receive(self, frame):
         if isinstance(frame, frames.Hello):
+            self._exchange.check_token(frame.token)
             self._caller = self._exchange.find_caller(frame.daemon)
             self._caller.session = self
         elif isinstance(frame, frames.Ping):
@@ -96,6 +98,8 @@
             self._exchange.take_call(self._caller, frame)
         elif isinstance(frame, frames.Cancel):
             self._exchange.cancel(self._caller, frame.number)
+        elif isinstance(frame, frames.Gossip):
+            self._exchange.take_gossip(self, frame)
 
 
 class Exchange:
@@ -106,16 +110,26 @@
         serve: Coroutine function from `messages.Request` to `messages.Answer`.
         refuse: Function from an attempt that may have run before and is no
             longer known to its `messages.Answer`.
+        answer_gossip: Coroutine function from the bytes of a gossip message to
+            those of its answer, None where there is no gossip.
+        admits: Function from the token that a daemon shows to whether it is
+            let in.
     """
 
-    def __init__(self, hello, serve, refuse):
+    def __init__(
+        self, hello, serve, refuse, answer_gossip=None, admits=lambda token: True
+    ):
         self._loop = asyncio.get_running_loop()
         self._serve = serve
         self._refuse = refuse
+        self._answer_gossip = answer_gossip
+        self._admits = admits
+        self._answering = set()
         self._callers = {}
         self._listener = None
         self._kept = 0
-        self.hello = hello
+        # Whoever connects has shown nothing yet and is shown no secret.
+        self.hello = hello._replace(token="")
         self.news = None
         self.sessions = set()
 
@@ -167,6 +181,27 @@
             task.cancel()
         caller.done.setdefault(number, Done(b"", self._loop.time()))
 
+    def check_token(self, token):
+        """Let a daemon in by the token that it shows.
+
+        Raises:
+            FrameError: When it is the wrong one.
+        """
+        if not self._admits(token):
+            raise frames.FrameError("a wrong token")
+
+    def take_gossip(self, session, message):
+        """Answer a gossip message.
+
+        Raises:
+            FrameError: Where there is no gossip.
+        """
+        if self._answer_gossip is None:
+            raise frames.FrameError("gossip is not spoken here")
+        task = self._loop.create_task(self._gossip(session, message))
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
+
     async def keep(self):
         """Forget old answers and callers that are gone, for ever."""
         while True:
@@ -195,6 +230,14 @@
         self._kept += len(data)
         self._write(caller, data)
 
+    async def _gossip(self, session, message):
+        try:
+            data = await self._answer_gossip(message.data)
+        except ValueError as error:
+            logging.warning("a daemon sent no gossip: %s", error)
+            return
+        session.send(frames.GossipReply(message.number, data))
+
     def _write(self, caller, data):
         """Send bytes where the caller is connected; else it asks again."""
         session = caller.session
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -26,10 +26,12 @@
     Attributes:
         daemon: Identifier of this start of the daemon.
         address: "host:port" at which other daemons reach it.
+        token: What the calling side shows to be let in, "" for nothing.
     """
 
     daemon: str
     address: str
+    token: str = ""
 
 
 class Call(NamedTuple):
@@ -94,7 +96,21 @@
     levels: tuple[tuple[str, float], ...]
 
 
-KINDS = (Hello, Call, Reply, Cancel, Ping, Pong, News, Levels)
+class Gossip(NamedTuple):
+    """A gossip message in its own encoding; the number is the sender's."""
+
+    number: int
+    data: bytes
+
+
+class GossipReply(NamedTuple):
+    """The answer to the gossip message of a number."""
+
+    number: int
+    data: bytes
+
+
+KINDS = (Hello, Call, Reply, Cancel, Ping, Pong, News, Levels, Gossip, GossipReply)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 _REASONS = tuple(messages.Reason)
 _REASON_NUMBERS = {reason: number for number, reason in enumerate(_REASONS)}
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -30,6 +30,9 @@
 # A daemon busy for this long is of no use either.
 PONG_SECONDS = 0.8
 TICK_SECONDS = 0.1
+# A partner of gossip is used every second; an endpoint that gets no call for
+# this long is worth a new connection.
+UNUSED_SECONDS = 120.0
 # First pause and longest pause before an address that refused is tried again.
 FIRST_PAUSE = 0.05
 LONGEST_PAUSE = 1.0
@@ -101,11 +104,13 @@
         self._take_news = take_news
         self._numbers = itertools.count(1)
         self._pending = {}
+        self._asked = {}
         self._link = None
         self._connecting = None
         self._pause = 0.0
         self._next_try = 0.0
         self._lost = 0.0
+        self._last_used = self._loop.time()
         self.address = address
         self.hello = hello
         self.daemon = ""
@@ -126,6 +131,7 @@
             left = request.deadline - self._loop.time()
             if not await self._wait_up(min(left, CONNECT_SECONDS)):
                 return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
+        self._last_used = self._loop.time()
         number = next(self._numbers)
         future = self._loop.create_future()
         self._pending[number] = Pending(request, future)
@@ -141,6 +147,30 @@
             timer.cancel()
             self._pending.pop(number, None)
 
+    async def ask(self, data):
+        """Send a gossip message and return the bytes of its answer.
+
+        It isn't sent again: what it tells is old by then.
+
+        Raises:
+            ConnectionError: When there is no connection, or it breaks.
+        """
+        if not self.is_up and not await self._wait_up(CONNECT_SECONDS):
+            raise ConnectionError(f"{self.address}: no connection")
+        self._last_used = self._loop.time()
+        number = next(self._numbers)
+        future = self._loop.create_future()
+        self._asked[number] = future
+        self._link.send(frames.Gossip(number, data))
+        try:
+            return await future
+        finally:
+            self._asked.pop(number, None)
+
+    def is_unused(self, since):
+        """Return whether nothing is out, and nothing was sent since a time."""
+        return not self._pending and not self._asked and self._last_used < since
+
     def connect(self):
         """Open a connection unless there is one or it is too early."""
         if self._link is not None or self._connecting is not None:
@@ -158,6 +188,8 @@
             self._take_news(self.address, frame)
         elif isinstance(frame, frames.Ping):
             link.send(frames.Pong(frame.number))
+        elif isinstance(frame, frames.GossipReply):
+            self._settle_gossip(frame)
 
     def lose_link(self, link, exc):
         """Open another connection at once where calls are out."""
@@ -167,6 +199,7 @@
         self._lost = self._loop.time()
         self._next_try = 0.0
         self._log("lost", str(exc or "closed"), calls=len(self._pending))
+        self._fail_gossip()
         if self._pending:
             self.connect()
 
@@ -182,6 +215,7 @@
 
     def close(self):
         """Close the connection."""
+        self._fail_gossip()
         if self._connecting is not None:
             self._connecting.cancel()
         if self._link is not None and self._link.transport is not None:
@@ -225,6 +259,17 @@
             return
         pending.future.set_result(reply.answer)
 
+    def _settle_gossip(self, reply):
+        future = self._asked.get(reply.number)
+        if future is not None and not future.done():
+            future.set_result(reply.data)
+
+    def _fail_gossip(self):
+        """Tell those who wait for an answer to gossip that none will come."""
+        for future in self._asked.values():
+            if not future.done():
+                future.set_exception(ConnectionError(f"{self.address}: lost"))
+
     def _greet(self, link, hello):
         """Send the open calls again, or give them up to another start of it."""
         if link.greeted.done():
@@ -326,6 +371,18 @@
             del self._peers[address]
             peer.close()
 
+    def drop_unused(self, now):
+        """Close the connections that nobody has used for a while.
+
+        Gossip changes its partners every few seconds, and instances are
+        replaced: without this a daemon would hold a connection to every daemon
+        that there has ever been, and its memory would grow for weeks.
+        """
+        for address, peer in tuple(self._peers.items()):
+            if peer.is_unused(now - UNUSED_SECONDS):
+                del self._peers[address]
+                peer.close()
+
     async def keep(self):
         """Check all links, for ever."""
         loop = asyncio.get_running_loop()
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -198,8 +198,7 @@
         await asyncio.sleep(min(STOP_LINGER, seconds / 2))
         self._is_leaving = True
         leave()
-        self.guard.is_stopping = True
-        self.guard.refuse_waiting()
+        self.guard.stop()
         self._publish()
         for server in servers:
             server.end_stop()
