--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(BIN)/ruff check --fix .
 
 protos: setup
-	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. whinwinch/daemons/peer.proto
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. whinwinch/daemons/peer.proto
--- a/bench/echo.py
+++ b/bench/echo.py
@@ -1,15 +1,17 @@
 """Servers that answer at once, each one layer of a daemon's path by itself.
 
-``python -m bench.echo LAYER --address HOST:PORT``. The gRPC one speaks the
-daemons' own messages, with their generated code.
+``python -m bench.echo LAYER --address HOST:PORT``.
 """
 
 import argparse
-from concurrent import futures
+import asyncio
+import threading
 
 from cheroot import wsgi
 
 from standins import serving
+from whinwinch.http1 import server
+from whinwinch.http1.messages import HttpResponse
 
 BODY = b"{}"
 THREADS = 32
@@ -65,21 +67,20 @@
     return stop
 
 
-def start_grpc(address):
-    """Serve the daemons' `Peer.Call` with blocking gRPC."""
-    import grpc
+def start_loop(address):
+    """Serve on an event loop by the package's own HTTP server, on a thread."""
+    loop = asyncio.new_event_loop()
 
-    from whinwinch.daemons import peer_pb2, peer_pb2_grpc
+    async def answer(http, sender):
+        del http, sender
+        return HttpResponse(200, "OK", body=BODY)
 
-    class Echo(peer_pb2_grpc.PeerServicer):
-        def Call(self, request, context):
-            return peer_pb2.CallAnswer(attempt=request.attempt, status=200, body=BODY)
+    async def listen():
+        await server.Server(answer, server.Limits()).listen(*address)
 
-    server = grpc.server(futures.ThreadPoolExecutor(THREADS))
-    peer_pb2_grpc.add_PeerServicer_to_server(Echo(), server)
-    server.add_insecure_port(str(address))
-    server.start()
-    return lambda: server.stop(None).wait()
+    loop.run_until_complete(listen())
+    threading.Thread(target=loop.run_forever, daemon=True).start()
+    return lambda: loop.call_soon_threadsafe(loop.stop)
 
 
 # Each starts a server and returns the function that stops it.
@@ -87,7 +88,7 @@
     "cheroot": start_cheroot,
     "cherrypy": start_cherrypy,
     "page": start_page,
-    "grpc": start_grpc,
+    "loop": start_loop,
 }
 
 
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -213,7 +213,7 @@
         ("urllib3, cheroot", "cheroot", build_urllib3_call),
         ("urllib3, grafted", "cherrypy", build_urllib3_call),
         ("urllib3, page", "page", build_urllib3_call),
-        ("blocking gRPC", "grpc", build_grpc_call),
+        ("socket, event loop", "loop", build_socket_call),
     )
     for name, layer, build_call in layers:
         (port,) = processes.find_ports(1)
@@ -266,17 +266,6 @@
     return lambda: pool.request("GET", "/").data
 
 
-def build_grpc_call(address):
-    """Return a blocking call of `Peer.Call`."""
-    import grpc
-
-    from whinwinch.daemons import peer_pb2, peer_pb2_grpc
-
-    stub = peer_pb2_grpc.PeerStub(grpc.insecure_channel(str(address)))
-    request = peer_pb2.CallRequest(attempt="a", service="archive", path="/listings")
-    return lambda: stub.Call(request)
-
-
 def format_numbers(values):
     """Return numbers with two digits."""
     return [f"{value:.2f}" for value in values]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -293,7 +293,7 @@
     "nothing": "",
     "control": "import whinwinch.daemons.gossip, whinwinch.logservice.joining, "
     "whinwinch.logservice.claimer, whinwinch.operators.store",
-    "data path": "import cherrypy, grpc, urllib3, asyncio, absl.logging, "
+    "data path": "import httptools, msgpack, urllib3, asyncio, absl.logging, "
     "hdrh.histogram",
     "daemon": "import whinwinch.daemon",
 }
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -7,7 +7,7 @@
 
 - frames: msgpack over one connection for each pair (`whinwinch.daemons.links`)
 - http: the same bytes as body of a POST over kept connections
-- grpc: `grpc.aio`, the generated code of ``peer.proto``
+- grpc: the same bytes over `grpc.aio`
 """
 
 import argparse
@@ -19,7 +19,7 @@
 from typing import NamedTuple
 
 from whinwinch import messages
-from whinwinch.daemons import codec, exchange, frames, links
+from whinwinch.daemons import exchange, frames, links
 from whinwinch.http1 import client, server
 from whinwinch.http1.messages import HttpRequest, HttpResponse, format_request
 
@@ -116,28 +116,37 @@
 
 
 async def open_grpc():
-    """Return a call over gRPC, and what closes both ends."""
-    import grpc
+    """Return a call over gRPC, and what closes both ends.
 
-    from whinwinch.daemons import peer_pb2_grpc
+    The messages are the bytes of the frames: what is compared is the way.
+    """
+    import grpc
 
     loop = asyncio.get_running_loop()
 
-    class Echo(peer_pb2_grpc.PeerServicer):
-        async def Call(self, request, context):
-            decoded = codec.decode_request(request, loop.time())
-            return codec.encode_answer(await answer_at_once(decoded))
+    def decode(data):
+        (frame,) = frames.decode_frames(frames.build_unpacker(), data, loop.time())
+        return frame
+
+    async def answer(call, context):
+        del context
+        return frames.Reply(call.number, await answer_at_once(call.request))
 
+    def encode(frame):
+        return frames.encode_frame(frame, loop.time())
+
+    handler = grpc.unary_unary_rpc_method_handler(answer, decode, encode)
     serving = grpc.aio.server()
-    peer_pb2_grpc.add_PeerServicer_to_server(Echo(), serving)
+    serving.add_generic_rpc_handlers(
+        [grpc.method_handlers_generic_handler("Peer", {"Call": handler})]
+    )
     port = serving.add_insecure_port(f"{LOCAL}:0")
     await serving.start()
     channel = grpc.aio.insecure_channel(f"{LOCAL}:{port}")
-    stub = peer_pb2_grpc.PeerStub(channel)
+    ask = channel.unary_unary("/Peer/Call", encode, decode)
 
     async def call(request):
-        encoded = codec.encode_request(request, loop.time())
-        return codec.decode_answer(await stub.Call(encoded))
+        return (await ask(frames.Call(1, request))).answer
 
     async def close():
         await channel.close()
--- a/bench/wire.py
+++ b/bench/wire.py
@@ -1,12 +1,12 @@
-"""Bytes and processor time of one gossip exchange over real gRPC."""
+"""Bytes and processor time of one gossip exchange over a real connection."""
 
-import socket
-import threading
+import asyncio
 import time
 from typing import NamedTuple
 
-from whinwinch.daemons import client, peer_pb2, server
+from whinwinch.daemons import exchange, frames, links
 
+LOCAL = "127.0.0.1"
 CHUNK = 65536
 EXCHANGES = 300
 
@@ -16,38 +16,32 @@
 
     def __init__(self, port):
         self.bytes = 0
-        self.connections = 0
         self._port = port
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listener = None
+        self._pumps = set()
+
+    async def listen(self):
+        """Take connections; return the port."""
+        self._listener = await asyncio.start_server(self._accept, LOCAL, 0)
+        return self._listener.sockets[0].getsockname()[1]
 
     def close(self):
-        """Take no more connections."""
+        """Take no more connections, and end those there are."""
         self._listener.close()
+        for pump in self._pumps:
+            pump.cancel()
+
+    async def _accept(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection(LOCAL, self._port)
+        for ends in ((reader, far_writer), (far_reader, writer)):
+            pump = asyncio.create_task(self._pump(*ends))
+            self._pumps.add(pump)
 
-    def _accept(self):
-        while True:
-            try:
-                inward, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            outward = socket.create_connection(("127.0.0.1", self._port))
-            for ends in ((inward, outward), (outward, inward)):
-                threading.Thread(target=self._pump, args=ends, daemon=True).start()
-
-    def _pump(self, source, target):
-        while True:
-            try:
-                data = source.recv(CHUNK)
-                if not data:
-                    target.shutdown(socket.SHUT_WR)
-                    return
-                self.bytes += len(data)
-                target.sendall(data)
-            except OSError:
-                return
+    async def _pump(self, reader, writer):
+        while data := await reader.read(CHUNK):
+            self.bytes += len(data)
+            writer.write(data)
+        writer.close()
 
 
 class Wire(NamedTuple):
@@ -66,44 +60,43 @@
 
 def measure_wire(message_bytes):
     """Measure exchanges whose message and answer have about so many bytes."""
-    payload = "x" * message_bytes
-    answer = peer_pb2.GossipAnswer(sender=payload)
-    message = peer_pb2.GossipMessage(sender=payload)
-    port = _find_port()
-    servicer = server.PeerServicer(None, lambda _: answer, time.monotonic, "")
-    serving = server.start_server(servicer, f"127.0.0.1:{port}")
+    return asyncio.run(_measure(b"x" * message_bytes))
+
+
+async def _measure(payload):
+    async def answer(data):
+        return data
+
+    hello = frames.Hello("answerer", "answerer")
+    serving = exchange.Exchange(hello, None, None, answer)
+    port = await serving.listen(LOCAL, 0)
     counter = Counter(port)
-    direct = client.PeerClient(time.monotonic, "")
-    counted = client.PeerClient(time.monotonic, "")
+    counted = await counter.listen()
+    peers = links.Peers(frames.Hello("asker", "asker"), lambda *news: None)
     try:
-        bytes_of = _count_bytes(counted, counter, message)
-        microseconds = _time_exchanges(direct, f"127.0.0.1:{port}", message)
+        bytes_of = await _count_bytes(
+            peers.find(f"{LOCAL}:{counted}"), counter, payload
+        )
+        microseconds = await _time_exchanges(peers.find(f"{LOCAL}:{port}"), payload)
     finally:
-        counted.close()
-        direct.close()
+        peers.close()
         counter.close()
-        serving.stop(None).wait()
+        serving.close()
     return Wire(*bytes_of, microseconds)
 
 
-def _count_bytes(peers, counter, message):
-    address = f"127.0.0.1:{counter.port}"
-    peers.gossip(address, message, 5.0)
+async def _count_bytes(peer, counter, payload):
+    await peer.ask(payload)
     first = counter.bytes
     for _ in range(EXCHANGES):
-        peers.gossip(address, message, 5.0)
+        await peer.ask(payload)
     return first, (counter.bytes - first) / EXCHANGES
 
 
-def _time_exchanges(peers, address, message):
+async def _time_exchanges(peer, payload):
     for _ in range(EXCHANGES):
-        peers.gossip(address, message, 5.0)
+        await peer.ask(payload)
     start = time.process_time()
     for _ in range(EXCHANGES):
-        peers.gossip(address, message, 5.0)
+        await peer.ask(payload)
     return (time.process_time() - start) / EXCHANGES * 1e6
-
-
-def _find_port():
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -1,5 +1,6 @@
 """The Press's mesh at its size of today, as processes on this machine."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -55,10 +56,11 @@
     Attributes:
         service: `Service` of the backend server.
         zone: Availability zone.
-        entry: Port of the daemon for callers and operators.
+        entry: Port of the daemon for callers.
         loopback: Port of the daemon for its own backend server.
         peer: Port of the daemon for other daemons.
         backend: Port of the backend server.
+        admin: Port of the daemon for operators.
     """
 
     service: Service
@@ -67,6 +69,7 @@
     loopback: int
     peer: int
     backend: int
+    admin: int
 
     @property
     def name(self):
@@ -78,6 +81,11 @@
         """URL of the daemon for callers."""
         return f"http://{HOST}:{self.entry}"
 
+    @property
+    def admin_url(self):
+        """URL of the daemon for operators."""
+        return f"http://{HOST}:{self.admin}"
+
     @property
     def backend_url(self):
         """URL of the backend server itself."""
@@ -104,13 +112,15 @@
     log_url: str
 
 
+# The fields of a node that are ports.
+PORTS = ("entry", "loopback", "peer", "backend", "admin")
+
+
 def place_nodes(services=SERVICES, zones=ZONES):
     """Return a `Node` for each service in each zone, with free ports."""
     places = [(service, zone) for service in services for zone in zones]
-    ports = processes.find_ports(4 * len(places))
-    return tuple(
-        Node(*place, *ports[4 * at : 4 * at + 4]) for at, place in enumerate(places)
-    )
+    ports = iter(processes.find_ports(len(PORTS) * len(places)))
+    return tuple(Node(*place, *itertools.islice(ports, len(PORTS))) for place in places)
 
 
 def start_mesh(running, nodes, log_options=(), find_env=lambda node: {}):
@@ -148,6 +158,7 @@
         "--address": f"{HOST}:{node.entry}",
         "--backend-address": f"{HOST}:{node.loopback}",
         "--peer-address": f"{HOST}:{node.peer}",
+        "--admin-address": f"{HOST}:{node.admin}",
         "--zone": node.zone,
         "--region": REGION,
         "--log": f"http://{HOST}:{log_port}",
@@ -188,7 +199,7 @@
     Raises:
         processes.NotReady: When the command fails.
     """
-    arguments = ["apply", path, "--server", mesh.nodes[0].entry_url]
+    arguments = ["apply", path, "--server", mesh.nodes[0].admin_url]
     command = running.start("apply", "whinwinch", arguments, mesh.env)
     running.finish([command], START_TIMEOUT)
 
--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -136,7 +136,7 @@
             store=Address(LOCAL, self._store_port),
             repeat_ratio=0.2,
             drain=2.0,
-            stop_grace=3.0,
+            stop_grace=6.0,
         )
 
     async def kill(self, member):
--- a/test/backends/test_gatekeeper.py
+++ b/test/backends/test_gatekeeper.py
@@ -1,6 +1,7 @@
 """Tests for the gatekeeper, with a backend server that is a function."""
 
-import threading
+import asyncio
+import inspect
 import unittest
 import unittest.mock
 
@@ -8,7 +9,6 @@
 from whinwinch.backends import gatekeeper
 from whinwinch.backends.registry import Announcement
 from whinwinch.claims import ClaimVerdict, Verdict
-from whinwinch.guarded import Guarded
 from whinwinch.messages import Answer, Importance, Outcome, Reason
 
 KEY = claims.make_key(1_700_000_000.0, 7)
@@ -27,7 +27,9 @@
         "deadline": 10.0,
         "budget": 3,
     }
-    return messages.Request(**(values | fields))
+    request = messages.Request(**(values | fields))
+    begun = asyncio.get_running_loop().time()
+    return request._replace(deadline=begun + request.deadline)
 
 
 class FakeClient:
@@ -37,24 +39,26 @@
         self.answer = answer
         self.ran = []
 
-    def forward(self, request, left):
+    async def forward(self, request, left):
         self.ran.append(request.attempt)
-        return self.answer(request)
+        answer = self.answer(request)
+        return await answer if inspect.isawaitable(answer) else answer
 
 
 def complete(request):
     return Answer(request.attempt, Outcome.COMPLETED, body=b"whole")
 
 
-class GatekeeperTest(unittest.TestCase):
-    def setUp(self):
+class GatekeeperTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
         self.now = 0.0
+        begun = asyncio.get_running_loop().time()
         self.verdict = ClaimVerdict(Verdict.WON)
         self.ended = []
         self.takes_work = True
         self.running = running.Running()
-        self.ledger = Guarded(retries.Ledger())
-        self.levels = Guarded(levels.Levels())
+        self.ledger = retries.Ledger()
+        self.levels = levels.Levels()
         self.client = FakeClient(complete)
         patch = unittest.mock.patch.object(
             gatekeeper, "BackendClient", lambda *arguments: self.client
@@ -62,7 +66,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.gatekeeper = gatekeeper.Gatekeeper(
-            clock=lambda: self.now,
+            clock=lambda: begun + self.now,
             claim=self.claim,
             note_end=lambda request, answer: self.ended.append(answer.outcome),
             ledger=self.ledger,
@@ -79,90 +83,90 @@
             Announcement("royalties", "127.0.0.1:1", slots, connections=10)
         )
 
-    def claim(self, request):
+    async def claim(self, request):
         return self.verdict
 
-    def test_a_whole_answer_returns_the_unused_budget(self):
-        answer = self.gatekeeper.serve(build_request())
+    async def test_a_whole_answer_returns_the_unused_budget(self):
+        answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Outcome.COMPLETED, answer.outcome)
         self.assertEqual(3, answer.unused)
         self.assertEqual(0, self.gatekeeper.load().in_service)
 
-    def test_work_claimed_by_another_attempt_is_not_run(self):
+    async def test_work_claimed_by_another_attempt_is_not_run(self):
         """A caller asks again while its first attempt is still running.
 
         Run here as well, the payout would reach the poet twice.
         """
         self.verdict = ClaimVerdict(Verdict.LOST, winner="a0")
-        answer = self.gatekeeper.serve(build_request(key=KEY))
+        answer = await self.gatekeeper.serve(build_request(key=KEY))
         self.assertEqual(Outcome.UNKNOWN, answer.outcome)
         self.assertEqual(Reason.KEY_CLAIMED, answer.reason)
         self.assertFalse(self.client.ran)
 
-    def test_keyed_work_is_refused_while_the_log_is_down(self):
+    async def test_keyed_work_is_refused_while_the_log_is_down(self):
         """The platform's log has an outage; unclaimed work must not run."""
         self.verdict = ClaimVerdict(Verdict.LOG_DOWN, retry_after=2.0)
-        answer = self.gatekeeper.serve(build_request(key=KEY))
+        answer = await self.gatekeeper.serve(build_request(key=KEY))
         self.assertEqual(Outcome.NOT_RUN, answer.outcome)
         self.assertEqual(Reason.LOG_DOWN, answer.reason)
         self.assertGreater(answer.retry_after, 0.0)
         self.assertFalse(self.client.ran)
 
-    def test_reads_go_on_while_the_log_is_down(self):
+    async def test_reads_go_on_while_the_log_is_down(self):
         self.verdict = ClaimVerdict(Verdict.LOG_DOWN)
-        answer = self.gatekeeper.serve(build_request())
+        answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Outcome.COMPLETED, answer.outcome)
 
-    def test_a_winner_that_was_paused_past_its_deadline_does_not_run(self):
+    async def test_a_winner_that_was_paused_past_its_deadline_does_not_run(self):
         """The instance is frozen after the log has decided, and resumed later.
 
         The caller was told "unknown" and may have given up; the claim is
         released, so that asking again with the same key can run the work.
         """
 
-        def claim_and_pause(request):
+        async def claim_and_pause(request):
             self.now = 11.0
             return ClaimVerdict(Verdict.WON)
 
         self.claim = claim_and_pause
         self.gatekeeper._claim = claim_and_pause
-        answer = self.gatekeeper.serve(build_request(key=KEY))
+        answer = await self.gatekeeper.serve(build_request(key=KEY))
         self.assertEqual(Outcome.NOT_RUN, answer.outcome)
         self.assertEqual([Outcome.NOT_RUN], self.ended)
         self.assertFalse(self.client.ran)
 
-    def test_a_doubled_message_does_not_run_twice(self):
+    async def test_a_doubled_message_does_not_run_twice(self):
         """The network delivers one attempt twice.
 
         The copy can't be told "not run": the first one ran.
         """
-        self.gatekeeper.serve(build_request())
-        answer = self.gatekeeper.serve(build_request())
+        await self.gatekeeper.serve(build_request())
+        answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Outcome.UNKNOWN, answer.outcome)
         self.assertEqual(["a1"], self.client.ran)
 
-    def test_a_leaving_daemon_refuses_at_once_as_not_run(self):
+    async def test_a_leaving_daemon_refuses_at_once_as_not_run(self):
         self.takes_work = False
-        answer = self.gatekeeper.serve(build_request())
+        answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Outcome.NOT_RUN, answer.outcome)
         self.assertEqual(Reason.LEAVING, answer.reason)
         self.assertEqual(3, answer.unused)
 
-    def test_a_vanished_backend_server_takes_no_work(self):
+    async def test_a_vanished_backend_server_takes_no_work(self):
         self.gatekeeper.install(None)
-        answer = self.gatekeeper.serve(build_request())
+        answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Reason.NO_ENDPOINT, answer.reason)
 
-    def test_work_for_another_service_is_refused(self):
+    async def test_work_for_another_service_is_refused(self):
         """A peer's view is old: another backend server has taken the place.
 
         Handed on, the request would reach a server of another service.
         """
-        answer = self.gatekeeper.serve(build_request(service="catalog"))
+        answer = await self.gatekeeper.serve(build_request(service="catalog"))
         self.assertEqual(Reason.NO_ENDPOINT, answer.reason)
         self.assertFalse(self.client.ran)
 
-    def test_a_refusal_from_below_is_marked_so_that_nobody_above_retries(self):
+    async def test_a_refusal_from_below_is_marked_so_that_nobody_above_retries(self):
         """A service that this one calls is full, and so this one answers 503."""
 
         def fail_below(request):
@@ -171,11 +175,11 @@
             return Answer(request.attempt, Outcome.COMPLETED, status=503)
 
         self.client.answer = fail_below
-        answer = self.gatekeeper.serve(build_request())
+        answer = await self.gatekeeper.serve(build_request())
         self.assertTrue(answer.deeper)
         self.assertEqual(2.0, answer.retry_after)
 
-    def test_what_would_be_refused_below_takes_no_slot(self):
+    async def test_what_would_be_refused_below_takes_no_slot(self):
         """A service further down sheds all but critical work.
 
         Let in here, a request would take a slot for an answer that can't be
@@ -189,9 +193,9 @@
 
         self.client.answer = meet_a_level
         for number in range(20):
-            self.gatekeeper.serve(build_request(f"c{number}"))
+            await self.gatekeeper.serve(build_request(f"c{number}"))
         ran = len(self.client.ran)
-        answer = self.gatekeeper.serve(
+        answer = await self.gatekeeper.serve(
             build_request("n1", importance=Importance.NORMAL)
         )
         self.assertEqual(ran, len(self.client.ran))
@@ -199,7 +203,7 @@
         self.assertTrue(answer.deeper)
         self.assertGreater(answer.load.below, 0.0)
 
-    def test_what_seldom_calls_on_is_not_refused_for_those_that_do(self):
+    async def test_what_seldom_calls_on_is_not_refused_for_those_that_do(self):
         """One request in ten of a path calls a service that is full.
 
         Refused with it, the other nine would be lost though they need it not.
@@ -217,87 +221,104 @@
         self.client.answer = meet_a_level_seldom
         for number in range(95):
             self.now = number * 0.01
-            self.gatekeeper.serve(
+            await self.gatekeeper.serve(
                 build_request(f"n{number}", importance=Importance.NORMAL)
             )
         self.assertGreater(len(self.client.ran), 80)
 
-    def test_a_slow_log_does_not_take_all_slots(self):
+    async def test_a_slow_log_does_not_take_all_slots(self):
         """The log is slow, so that payouts wait for their claims.
 
         Holding every slot meanwhile, they would keep out the reads, which
         need no log at all.
         """
-        claiming = threading.Event()
-        decided = threading.Event()
+        claiming = asyncio.Event()
+        decided = asyncio.Event()
 
-        def claim_slowly(request):
+        async def claim_slowly(request):
             claiming.set()
-            decided.wait(GENEROUS)
+            await decided.wait()
             return ClaimVerdict(Verdict.WON)
 
         self.gatekeeper._claim = claim_slowly
-        first = threading.Thread(
-            target=self.gatekeeper.serve, args=(build_request(key=KEY),)
-        )
-        first.start()
-        self.assertTrue(claiming.wait(GENEROUS))
-        second = self.gatekeeper.serve(build_request("a2", key=KEY))
-        read = self.gatekeeper.serve(build_request("a3"))
+        first = asyncio.create_task(self.gatekeeper.serve(build_request(key=KEY)))
+        await claiming.wait()
+        second = await self.gatekeeper.serve(build_request("a2", key=KEY))
+        read = await self.gatekeeper.serve(build_request("a3"))
         decided.set()
-        first.join(GENEROUS)
+        await first
         self.assertEqual(Reason.QUEUE, second.reason)
         self.assertEqual(Outcome.COMPLETED, read.outcome)
 
-    def test_a_decision_is_handed_over_in_the_lock_in_which_it_was_made(self):
-        """A slot gets free in the moment in which a wait for one ends.
+    async def hold_all(self):
+        """Fill all four slots; return the tasks, and the event that ends them."""
+        leave = asyncio.Event()
 
-        The gate admits the request while its thread gives up; nobody would
-        ever leave the slot again, and the endpoint lose one slot after the
-        other.
-        """
-        deliver = self.gatekeeper._deliver
-        held = []
+        async def hold(request):
+            await leave.wait()
+            return complete(request)
 
-        def note(woken):
-            held.append(self.gatekeeper._lock.locked())
-            deliver(woken)
+        self.client.answer = hold
+        tasks = [
+            asyncio.create_task(
+                self.gatekeeper.serve(build_request(f"w{number}", deadline=60.0))
+            )
+            for number in range(4)
+        ]
+        async with asyncio.timeout(GENEROUS):
+            while len(self.client.ran) < 4:
+                await asyncio.sleep(0)
+        return tasks, leave
 
-        self.gatekeeper._deliver = note
-        self.gatekeeper.serve(build_request())
-        self.gatekeeper.expire()
-        self.gatekeeper._withdraw(build_request("a2"))
-        self.install(slots=3)
-        self.assertEqual([True] * 5, held)
+    async def test_a_slot_given_to_a_caller_that_hangs_up_is_free_again(self):
+        """A slot gets free in the moment in which the caller next in line hangs up.
 
-    def test_a_full_endpoint_has_no_room_until_an_answer_leaves(self):
-        self.install(slots=4)
-        inside = threading.Semaphore(0)
-        leave = threading.Event()
+        The gate has admitted its request already; nobody would ever leave the
+        slot again, and the endpoint lose one slot after the other.
+        """
+        tasks, leave = await self.hold_all()
+        waiting = asyncio.create_task(
+            self.gatekeeper.serve(build_request("next", deadline=60.0))
+        )
+        while not self.gatekeeper.load().waiting:
+            await asyncio.sleep(0)
+        leave.set()
+        while self.gatekeeper.load().waiting:
+            await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.wait([*tasks, waiting])
+        self.assertEqual(0, self.gatekeeper.load().in_service)
+        self.assertTrue(self.gatekeeper.has_room())
+
+    async def test_claimed_work_runs_to_its_end_though_its_caller_hangs_up(self):
+        """A caller of a payout goes away while it is being made.
+
+        Broken off, the payout is perhaps made, and its claim would keep the
+        caller that asks again from ever learning of it.
+        """
+        leave = asyncio.Event()
 
-        def hold(request):
-            inside.release()
-            leave.wait(GENEROUS)
+        async def hold(request):
+            await leave.wait()
             return complete(request)
 
         self.client.answer = hold
-        answers = []
-        threads = [
-            threading.Thread(
-                target=lambda number=number: answers.append(
-                    self.gatekeeper.serve(build_request(f"w{number}", deadline=60.0))
-                )
-            )
-            for number in range(4)
-        ]
-        for thread in threads:
-            thread.start()
-        for _ in range(4):
-            self.assertTrue(inside.acquire(timeout=GENEROUS))
+        task = asyncio.create_task(self.gatekeeper.serve(build_request(key=KEY)))
+        while not self.client.ran:
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        leave.set()
+        while not self.ended:
+            await asyncio.sleep(0)
+        self.assertEqual([Outcome.COMPLETED], self.ended)
+        self.assertEqual(0, self.gatekeeper.load().in_service)
+
+    async def test_a_full_endpoint_has_no_room_until_an_answer_leaves(self):
+        tasks, leave = await self.hold_all()
         self.assertFalse(self.gatekeeper.has_room())
         leave.set()
-        for thread in threads:
-            thread.join(GENEROUS)
+        answers = await asyncio.gather(*tasks)
         self.assertEqual([Outcome.COMPLETED] * 4, [one.outcome for one in answers])
         self.assertTrue(self.gatekeeper.has_room())
 
--- a/test/callers/test_headers.py
+++ b/test/callers/test_headers.py
@@ -3,27 +3,29 @@
 import unittest
 
 from whinwinch.callers import headers
+from whinwinch.http1.messages import HttpRequest
 from whinwinch.messages import Importance
 
+ADDRESS = "127.0.0.9"
 
-def build_environ(path="/services/catalog/books/7", **variables):
-    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": path, "REMOTE_ADDR": "127.0.0.9"}
-    environ.update(variables)
-    return environ
+
+def parse(target="/services/catalog/books/7", *pairs):
+    return headers.parse_call(HttpRequest("GET", target, pairs), ADDRESS)
 
 
 class ParseCallTest(unittest.TestCase):
-    def parse(self, *arguments, **variables):
-        return headers.parse_call(build_environ(*arguments, **variables), b"")
+    def parse(self, **given):
+        pairs = [(name.replace("_", "-"), value) for name, value in given.items()]
+        return parse("/services/catalog/books/7", *pairs)
 
     def test_path_and_query_reach_the_backend_server(self):
-        incoming = self.parse(QUERY_STRING="a=1&b=2").incoming
+        incoming = parse("/services/catalog/books/7?a=1&b=2").incoming
         self.assertEqual("catalog", incoming.service)
         self.assertEqual("/books/7?a=1&b=2", incoming.path)
 
     def test_a_question_mark_in_a_segment_stays_quoted(self):
-        incoming = self.parse("/services/catalog/what?/x y").incoming
-        self.assertEqual("/what%3F/x%20y", incoming.path)
+        incoming = parse("/services/catalog/what%3F/x%20y?q=%3F").incoming
+        self.assertEqual("/what%3F/x%20y?q=%3F", incoming.path)
 
     def test_urgency_becomes_importance(self):
         for urgency, importance in (
@@ -34,18 +36,18 @@
             ("i", None),
         ):
             with self.subTest(urgency):
-                parsed = self.parse(HTTP_PRIORITY=urgency)
+                parsed = self.parse(Priority=urgency)
                 self.assertEqual(importance, parsed.incoming.importance)
                 self.assertFalse(parsed.findings)
 
     def test_all_findings_are_reported_at_once(self):
-        parsed = self.parse(
+        parsed = parse(
             "/services/../x",
-            HTTP_PRIORITY="u=9",
-            HTTP_WHINWINCH_TIMEOUT="-5",
-            HTTP_X_REQUEST_ID="a b",
-            HTTP_WHINWINCH_CALLER="x" * 65,
-            HTTP_IDEMPOTENCY_KEY="k" * 129,
+            ("Priority", "u=9"),
+            ("Whinwinch-Timeout", "-5"),
+            ("X-Request-Id", "a b"),
+            ("Whinwinch-Caller", "x" * 65),
+            ("Idempotency-Key", "k" * 129),
         )
         places = [finding.place for finding in parsed.findings]
         self.assertEqual(
@@ -60,20 +62,46 @@
             places,
         )
 
-    def test_timeouts(self):
-        self.assertEqual(
-            1.5, self.parse(HTTP_WHINWINCH_TIMEOUT="1500").incoming.timeout
+    def test_paths_that_name_no_service(self):
+        for target in ("*", "/", "/services", "/services/", "/admin/x", "http://a/b"):
+            with self.subTest(target):
+                (finding,) = parse(target).findings
+                self.assertEqual("path", finding.place)
+
+    def test_two_keys(self):
+        """A proxy in front reads the first key, this daemon the second.
+
+        The payout would be claimed under one key and be asked for under another.
+        """
+        parsed = parse(
+            "/services/royalties/payouts",
+            ("Idempotency-Key", "a"),
+            ("idempotency-key", "b"),
         )
+        self.assertEqual(["Idempotency-Key"], [each.place for each in parsed.findings])
+
+    def test_a_name_with_an_underscore_stands_for_nothing(self):
+        parsed = parse("/services/catalog/x", ("Idempotency_Key", "a"), ("Accept", "b"))
+        self.assertEqual("", parsed.incoming.key)
+        self.assertEqual((("Accept", "b"),), parsed.incoming.headers)
+
+    def test_timeouts(self):
+        self.assertEqual(1.5, self.parse(Whinwinch_Timeout="1500").incoming.timeout)
         for text in ("0", "1.5", "x", "9" * 30, "٣", "3600001"):
             with self.subTest(text):
-                self.assertTrue(self.parse(HTTP_WHINWINCH_TIMEOUT=text).findings)
+                self.assertTrue(self.parse(Whinwinch_Timeout=text).findings)
 
     def test_a_nameless_caller_is_known_by_its_address(self):
-        self.assertEqual("127.0.0.9", self.parse().incoming.caller)
+        self.assertEqual(ADDRESS, self.parse().incoming.caller)
 
     def test_headers_of_this_hop_are_not_handed_on(self):
         incoming = self.parse(
-            HTTP_CONNECTION="close", HTTP_ACCEPT="text/plain", CONTENT_TYPE="a/b"
+            Connection="close, X-Own",
+            X_Own="1",
+            Host="a",
+            Accept="text/plain",
+            Content_Type="a/b",
+            Content_Length="0",
         ).incoming
         expected = {("Accept", "text/plain"), ("Content-Type", "a/b")}
         self.assertEqual(expected, set(incoming.headers))
--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -4,12 +4,17 @@
 import unittest
 import unittest.mock
 
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from whinwinch import events
 from whinwinch.daemons import exchange, frames, links
 from whinwinch.messages import (
     Answer,
     Endpoint,
     Importance,
+    Load,
     Outcome,
     Reason,
     Request,
@@ -24,6 +29,51 @@
     )
 
 
+TEXT = st.text(max_size=20)
+HEADERS = st.lists(st.tuples(TEXT, TEXT), max_size=3).map(tuple)
+REQUESTS = st.builds(
+    Request,
+    attempt=TEXT,
+    root=TEXT,
+    service=TEXT,
+    call=TEXT,
+    method=TEXT,
+    path=TEXT,
+    importance=st.sampled_from(Importance),
+    deadline=st.floats(0, 1000),
+    key=TEXT,
+    budget=st.integers(0, 1000),
+    caller=TEXT,
+    via=st.lists(TEXT, max_size=3).map(tuple),
+    headers=HEADERS,
+    body=st.binary(max_size=20),
+    repeatable=st.booleans(),
+    again=st.booleans(),
+)
+COUNTS = st.integers(0, 99)
+ANSWERS = st.builds(
+    Answer,
+    attempt=TEXT,
+    outcome=st.sampled_from(Outcome),
+    reason=st.sampled_from(Reason),
+    status=st.integers(100, 599),
+    headers=HEADERS,
+    body=st.binary(max_size=20),
+    unused=st.integers(0, 1000),
+    retry_after=st.floats(0, 100),
+    deeper=st.booleans(),
+    offered=st.booleans(),
+    load=st.builds(
+        Load,
+        level=st.floats(0, 4),
+        below=st.floats(0, 4),
+        in_service=COUNTS,
+        waiting=COUNTS,
+        limit=COUNTS,
+    ),
+)
+
+
 class LinksTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.ran = []
@@ -31,6 +81,8 @@
         self.hold = asyncio.Event()
         self.hold.set()
         self.told = []
+        self.tokens = ("",)
+        self.shown = 0
         await self.start_called("d1", 0)
         hello = frames.Hello("caller-1", "127.0.0.1:1")
         self.peers = links.Peers(hello, lambda *news: self.told.append(news))
@@ -40,7 +92,11 @@
 
     async def start_called(self, daemon, port):
         self.called = exchange.Exchange(
-            frames.Hello(daemon, "127.0.0.1:2"), self.serve, self.refuse
+            frames.Hello(daemon, "127.0.0.1:2", "own-token"),
+            self.serve,
+            self.refuse,
+            self.answer_gossip,
+            self.admits,
         )
         self.called.news = frames.News(Endpoint("x", "x", "s"), 3)
         self.port = await self.called.listen("127.0.0.1", port)
@@ -62,6 +118,16 @@
             raise
         return Answer(request.attempt, Outcome.COMPLETED, body=request.body)
 
+    def admits(self, token):
+        self.shown += 1
+        return token in self.tokens
+
+    async def answer_gossip(self, data):
+        await self.hold.wait()
+        if data == b"no gossip":
+            raise ValueError("not understood")
+        return data[::-1]
+
     def refuse(self, request):
         return build_failure(request, Outcome.UNKNOWN, Reason.ABANDONED)
 
@@ -209,6 +275,58 @@
         self.assertIs((await call).outcome, Outcome.COMPLETED)
         self.assertEqual(self.ran, ["a1"])
 
+    async def test_a_wrong_token_runs_nothing(self):
+        """A program that isn't of this mesh reaches the port for daemons."""
+        self.tokens = ("token-of-the-mesh",)
+        answer = await self.peer.call(build_request(1))
+        self.assertIsNot(answer.outcome, Outcome.COMPLETED)
+        with self.assertRaises(ConnectionError):
+            await self.peer.ask(b"who is there?")
+        self.assertEqual(self.ran, [])
+        # Not as often as the network lets it: each costs both sides a connection.
+        self.assertLess(self.shown, 10)
+
+    async def test_the_right_token_is_let_in_and_shown_to_nobody(self):
+        self.tokens = ("token-of-the-mesh",)
+        hello = frames.Hello("caller-2", "127.0.0.1:3", "token-of-the-mesh")
+        peers = links.Peers(hello, lambda *news: None)
+        self.addCleanup(peers.close)
+        answer = await peers.find(f"127.0.0.1:{self.port}").call(build_request(1))
+        self.assertIs(answer.outcome, Outcome.COMPLETED)
+        self.assertEqual(self.called.hello.token, "")
+
+    async def test_gossip_is_answered(self):
+        answers = await asyncio.gather(self.peer.ask(b"abc"), self.peer.ask(b"12"))
+        self.assertEqual(answers, [b"cba", b"21"])
+
+    async def test_gossip_of_a_lost_connection_has_failed(self):
+        """A switch resets the connection while gossip waits for its answer.
+
+        Its sender must not wait for ever: the daemon would stop to probe.
+        """
+        self.hold.clear()
+        asking = asyncio.create_task(self.peer.ask(b"abc"))
+        await self.wait_until(lambda: self.called.sessions and self.peer.is_up)
+        await asyncio.sleep(0.02)
+        self.abort_sessions()
+        with self.assertRaises(ConnectionError):
+            await asking
+
+    async def test_gossip_that_is_not_understood_ends_nothing(self):
+        """A daemon of another version sends what this one can't read."""
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await self.peer.ask(b"no gossip")
+        self.assertEqual(await self.peer.ask(b"abc"), b"cba")
+
+    async def test_connections_that_nobody_uses_are_closed(self):
+        """Gossip changes its partners for weeks, and instances are replaced."""
+        await self.peer.call(build_request(1))
+        now = asyncio.get_running_loop().time()
+        self.peers.drop_unused(now + links.UNUSED_SECONDS)
+        self.assertEqual(len(self.peers), 0)
+        await self.wait_until(lambda: not self.called.sessions)
+
     async def test_departed_daemon_is_forgotten(self):
         """Instances are replaced by the hundred each day.
 
@@ -235,6 +353,30 @@
             with self.subTest(data), self.assertRaises(frames.FrameError):
                 list(frames.decode_frames(frames.build_unpacker(), data, 0.0))
 
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(REQUESTS)
+    def test_a_request_survives_and_its_deadline_moves_to_the_other_clock(
+        self, request
+    ):
+        data = frames.encode_frame(frames.Call(7, request), now=100.0)
+        unpacker = frames.build_unpacker()
+        (call,) = frames.decode_frames(unpacker, data, 5000.0)
+        self.assertAlmostEqual(request.deadline + 4900.0, call.request.deadline)
+        self.assertEqual(request, call.request._replace(deadline=request.deadline))
+
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(ANSWERS)
+    def test_an_answer_survives(self, answer):
+        data = frames.encode_frame(frames.Reply(7, answer))
+        (reply,) = frames.decode_frames(frames.build_unpacker(), data, 0.0)
+        self.assertEqual(answer, reply.answer)
+
+    def test_an_outcome_of_another_version_is_an_error(self):
+        fields = ["a", 9, 0, 200, [], b"", 0, 0.0, False, [0.0, 0.0, 0, 0, 0], False]
+        data = msgpack.packb((2, 7, fields))
+        with self.assertRaises(frames.FrameError):
+            list(frames.decode_frames(frames.build_unpacker(), data, 0.0))
+
     def test_time_left_travels(self):
         request = Request("a", "r", "s", "c", "GET", "/", Importance.LOW, 12.5)
         data = frames.encode_frame(frames.Call(1, request), 10.0)
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -243,6 +243,20 @@
         self.assertTrue(all(each.whole for each in told), told)
         self.assertEqual(await self.probe(member), 503)
 
+    async def test_planned_stop_leaves_the_way_out_open_for_work_in_flight(self):
+        """A daemon is restarted while its backend server is busy for some seconds.
+
+        Its calls to other services come last. With the daemon's address closed
+        before, each request inside fails at every restart.
+        """
+        self.set_faults("front", slower=22.0)
+        member = self.mesh.find("front")[0]
+        asking = asyncio.create_task(self.ask(PAY, 4))
+        await self.mesh.wait_until(lambda: member.backend.runs)
+        member.node.stop()
+        told = await asking
+        self.assertTrue(all(each.whole for each in told), told)
+
     async def test_all_daemons_are_killed_at_once(self):
         """Power returns to all daemons at once, beside living backend servers.
 
--- a/test/failures/meshes.py
+++ b/test/failures/meshes.py
@@ -105,7 +105,7 @@
         headers = {"Authorization": f"Bearer {token}"} | (condition or {})
         answer = cls.http.request(
             "PUT",
-            f"{node.entry_url}/admin/v1/services/{resource['name']}",
+            f"{node.admin_url}/admin/v1/services/{resource['name']}",
             json=resource,
             headers=headers,
         )
@@ -116,7 +116,7 @@
         token = self.mesh.env["WHINWINCH_OPERATOR_TOKEN"]
         answer = self.http.request(
             "GET",
-            f"{node.entry_url}/admin/v1/services/{name}",
+            f"{node.admin_url}/admin/v1/services/{name}",
             headers={"Authorization": f"Bearer {token}"},
         )
         return answer.json()
@@ -126,7 +126,7 @@
         token = self.mesh.env["WHINWINCH_OPERATOR_TOKEN"]
         answer = self.http.request(
             "GET",
-            f"{node.entry_url}/admin/v1/status",
+            f"{node.admin_url}/admin/v1/status",
             headers={"Authorization": f"Bearer {token}"},
         )
         return answer.json()["backend"]
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -77,6 +77,28 @@
             await asyncio.sleep(0.001)
         self.assertEqual(self.cancelled, ["/1"])
 
+    async def test_request_cut_off_half_way_is_told_so(self):
+        """A caller is cut off half way through its request.
+
+        Handed on, the backend server would act on half an order; its caller, who
+        can still read, learns that nothing was run.
+        """
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+        writer.write_eof()
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"))
+        self.assertEqual(self.seen, [])
+
+    async def test_what_cannot_be_read_is_answered_in_the_form_asked_for(self):
+        self.server.refuse = lambda status: messages.HttpResponse(
+            status, "Refused", (), b"why"
+        )
+        answer = await self.exchange(b"\x16\x03\x01 hello\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400 Refused"))
+        self.assertTrue(answer.endswith(b"why"))
+
     async def test_body_framed_in_two_ways_is_refused(self):
         """A request states a length and chunks, as one that smuggles another does.
 
--- a/test/models/test_claim_machine.py
+++ b/test/models/test_claim_machine.py
@@ -152,9 +152,10 @@
 )
 
 
-# A counterexample that nobody reads need not be made short.
+# A counterexample that nobody reads need not be made short. The first one ends the
+# search; where it stands depends on the constants of all modules that are loaded.
 MUTANT_SETTINGS = settings(
-    SETTINGS, phases=[Phase.generate], report_multiple_bugs=False
+    SETTINGS, max_examples=2000, phases=[Phase.generate], report_multiple_bugs=False
 )
 
 
--- a/test/operators/test_access.py
+++ b/test/operators/test_access.py
@@ -61,19 +61,11 @@
         setting = f" {new},{old}"
         access.check_peer_setting(setting)
         self.assertEqual(access.choose_peer_token(setting), new)
-        self.assertTrue(access.check_peer_token(f"Bearer {old}", setting))
-        self.assertTrue(access.check_peer_token(f"Bearer {new}", setting))
-        for header in (
-            None,
-            "",
-            "Bearer",
-            "Bearer ",
-            new,
-            f"Bearer {new}x",
-            "Bearer \u00e9",
-        ):
-            self.assertFalse(access.check_peer_token(header, setting))
-        self.assertFalse(access.check_peer_token("Bearer ", ""))
+        self.assertTrue(access.check_peer_token(old, setting))
+        self.assertTrue(access.check_peer_token(new, setting))
+        for token in ("", " ", f"Bearer {new}", f"{new}x", new[:-1], "\u00e9"):
+            self.assertFalse(access.check_peer_token(token, setting))
+        self.assertFalse(access.check_peer_token("", ""))
         with self.assertRaises(errors.InputErrors) as caught:
             access.check_peer_setting("short,also short by far")
         self.assertNotIn("short", str(caught.exception.findings))
--- a/test/callers/test_strictness.py
+++ b/test/operators/test_strictness.py
@@ -3,7 +3,7 @@
 import io
 import unittest
 
-from whinwinch.callers import strictness
+from whinwinch.operators import strictness
 
 
 def read(*lines):
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -1,5 +1,6 @@
 """Tests for the routing of one call, with endpoints that are functions."""
 
+import asyncio
 import random
 import unittest
 import unittest.mock
@@ -14,7 +15,6 @@
     router,
     running,
 )
-from whinwinch.guarded import Guarded
 from whinwinch.messages import Answer, Importance, Load, Outcome, Reason
 
 NOW = 100.0
@@ -53,7 +53,7 @@
         self.script = list(script)
         self.sent = []
 
-    def call(self, endpoint, request):
+    async def call(self, endpoint, request):
         self.sent.append((endpoint.address, request))
         answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         return answer(request)
@@ -80,11 +80,11 @@
     return resources.ServiceSpec(name, retry_budget=RETRY_BUDGET, calls=(payout,))
 
 
-class RouterTest(unittest.TestCase):
+class RouterTest(unittest.IsolatedAsyncioTestCase):
     def build(self, *script):
         self.mesh = Mesh(*script)
-        self.levels = Guarded(levels.Levels())
-        self.ledger = Guarded(retries.Ledger())
+        self.levels = levels.Levels()
+        self.ledger = retries.Ledger()
         self.running = running.Running()
         self.notes = []
         return router.Router(
@@ -94,7 +94,7 @@
             ),
             find_service=build_spec,
             match_call=resources.match_call,
-            placement_state=Guarded(placement.Placement("a", random.Random(1))),
+            placement_state=placement.Placement("a", random.Random(1)),
             levels=self.levels,
             ledger=self.ledger,
             running=self.running,
@@ -103,54 +103,54 @@
             note=lambda *note: self.notes.append(note),
         )
 
-    def route(self, routing, method="GET", path="/books", **fields):
+    async def route(self, routing, method="GET", path="/books", **fields):
         incoming = router.Incoming("root-1", "catalog", method, path, **fields)
-        return routing.route_root(incoming)
+        return await routing.route_root(incoming)
 
-    def test_a_whole_answer_without_retries(self):
-        routed = self.route(self.build(complete))
+    async def test_a_whole_answer_without_retries(self):
+        routed = await self.route(self.build(complete))
         self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
         self.assertEqual(0, routed.retries)
         self.assertEqual("root-1", self.mesh.sent[0][1].root)
 
-    def test_a_refusal_of_one_endpoint_is_retried_at_another(self):
-        routed = self.route(self.build(refuse(Reason.LEAVING), complete))
+    async def test_a_refusal_of_one_endpoint_is_retried_at_another(self):
+        routed = await self.route(self.build(refuse(Reason.LEAVING), complete))
         self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
         self.assertEqual(1, routed.retries)
         first, second = self.mesh.sent
         self.assertNotEqual(first[0], second[0])
         self.assertNotEqual(first[1].attempt, second[1].attempt)
 
-    def test_an_address_taken_over_by_another_daemon_is_tried_elsewhere(self):
+    async def test_an_address_taken_over_by_another_daemon_is_tried_elsewhere(self):
         """An instance was replaced, and peers still know its predecessor.
 
         Whoever answers at the address now guards nothing, or another service.
         The caller was told "no-endpoint" although three others were there.
         """
-        routed = self.route(self.build(refuse(Reason.NO_ENDPOINT), complete))
+        routed = await self.route(self.build(refuse(Reason.NO_ENDPOINT), complete))
         self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
 
-    def test_retries_stay_within_the_budget(self):
+    async def test_retries_stay_within_the_budget(self):
         """Every endpoint refuses, again and again.
 
         Without the bound one request would go on until its deadline, and many
         would keep the overload up after its cause has gone.
         """
-        routed = self.route(self.build(refuse(Reason.QUEUE)))
+        routed = await self.route(self.build(refuse(Reason.QUEUE)))
         self.assertEqual(Outcome.NOT_RUN, routed.answer.outcome)
         self.assertLessEqual(len(self.mesh.sent), 1 + RETRY_BUDGET)
         self.assertLessEqual(routed.retries, RETRY_BUDGET)
 
-    def test_a_refusal_from_deeper_is_passed_up(self):
+    async def test_a_refusal_from_deeper_is_passed_up(self):
         """A service two hops down is full, and says so through the hop between.
 
         The hop just above it has retried already; a retry here too would
         multiply by the depth.
         """
-        self.route(self.build(refuse(Reason.LEVEL, deeper=True)))
+        await self.route(self.build(refuse(Reason.LEVEL, deeper=True)))
         self.assertEqual(1, len(self.mesh.sent))
 
-    def test_an_unknown_payout_is_not_sent_again(self):
+    async def test_an_unknown_payout_is_not_sent_again(self):
         """A gatekeeper is killed after it was sent a payout.
 
         Nobody knows whether the poet has been paid; a second attempt might pay
@@ -158,25 +158,25 @@
         """
         key = claims.make_key(WALL, 1)
         with unittest.mock.patch("time.time", lambda: WALL):
-            routed = self.route(self.build(lose), "POST", "/payouts", key=key)
+            routed = await self.route(self.build(lose), "POST", "/payouts", key=key)
         self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
         self.assertEqual(1, len(self.mesh.sent))
 
-    def test_an_undeclared_post_is_not_sent_again_after_unknown(self):
-        self.route(self.build(lose), "POST", "/orders")
+    async def test_an_undeclared_post_is_not_sent_again_after_unknown(self):
+        await self.route(self.build(lose), "POST", "/orders")
         self.assertEqual(1, len(self.mesh.sent))
 
-    def test_a_read_of_unknown_outcome_is_sent_again(self):
-        routed = self.route(self.build(lose, complete))
+    async def test_a_read_of_unknown_outcome_is_sent_again(self):
+        routed = await self.route(self.build(lose, complete))
         self.assertEqual(Outcome.COMPLETED, routed.answer.outcome)
 
-    def test_a_payout_without_a_key_is_refused_before_it_is_sent(self):
-        routed = self.route(self.build(complete), "POST", "/payouts")
+    async def test_a_payout_without_a_key_is_refused_before_it_is_sent(self):
+        routed = await self.route(self.build(complete), "POST", "/payouts")
         self.assertEqual(Reason.KEY_MISSING, routed.answer.reason)
         self.assertEqual(Outcome.NOT_RUN, routed.answer.outcome)
         self.assertFalse(self.mesh.sent)
 
-    def test_a_key_that_is_too_old_is_unknown_not_refused_as_not_run(self):
+    async def test_a_key_that_is_too_old_is_unknown_not_refused_as_not_run(self):
         """A caller asks again with its key after more than the window.
 
         The payout may have run when the key was good. Told "not run", the
@@ -184,37 +184,36 @@
         """
         key = claims.make_key(WALL - 1000.0, 1)
         with unittest.mock.patch("time.time", lambda: WALL):
-            routed = self.route(self.build(complete), "POST", "/payouts", key=key)
+            routed = await self.route(self.build(complete), "POST", "/payouts", key=key)
         self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
         self.assertEqual(Reason.KEY_AGE, routed.answer.reason)
         self.assertFalse(self.mesh.sent)
 
-    def test_a_caller_cannot_raise_the_declared_importance(self):
-        self.route(self.build(complete), importance=Importance.CRITICAL)
+    async def test_a_caller_cannot_raise_the_declared_importance(self):
+        await self.route(self.build(complete), importance=Importance.CRITICAL)
         self.assertEqual(Importance.NORMAL, self.mesh.sent[0][1].importance)
 
-    def test_a_service_that_nobody_serves(self):
-        routed = self.build(complete).route_root(
+    async def test_a_service_that_nobody_serves(self):
+        routed = await self.build(complete).route_root(
             router.Incoming("root-1", "nowhere", "GET", "/")
         )
         self.assertEqual(Reason.NO_ENDPOINT, routed.answer.reason)
         self.assertGreater(routed.answer.retry_after, 0.0)
 
-    def test_a_level_learnt_from_answers_refuses_at_the_entry(self):
+    async def test_a_level_learnt_from_answers_refuses_at_the_entry(self):
         """A service further down sheds everything below critical importance.
 
         Without the level each request would be worked on by all hops above the
         one that refuses it.
         """
         routing = self.build(complete)
-        with self.levels as state:
-            for _ in range(20):
-                state.learn("catalog", "", Load(level=3.0), NOW)
-        routed = self.route(routing)
+        for _ in range(20):
+            self.levels.learn("catalog", "", Load(level=3.0), NOW)
+        routed = await self.route(routing)
         self.assertEqual(Reason.LEVEL, routed.answer.reason)
         self.assertFalse(self.mesh.sent)
 
-    def test_a_nested_call_carries_on_what_the_backend_server_forgets(self):
+    async def test_a_nested_call_carries_on_what_the_backend_server_forgets(self):
         routing = self.build(complete)
         holder = messages.Request(
             "attempt-1",
@@ -229,9 +228,8 @@
             caller="press",
             via=("archive",),
         )
-        with self.ledger as state:
-            state.open(holder.attempt, holder.budget, holder.deadline)
-        routing.route_nested(
+        self.ledger.open(holder.attempt, holder.budget, holder.deadline)
+        await routing.route_nested(
             router.Incoming("attempt-1", "catalog", "GET", "/books"), holder
         )
         sent = self.mesh.sent[0][1]
@@ -242,7 +240,30 @@
         self.assertEqual("press", sent.caller)
         self.assertGreater(sent.budget, 0)
 
-    def test_a_loop_of_services_ends(self):
+    async def test_a_caller_that_hangs_up_leaves_nothing_behind(self):
+        """Readers close their pages while the answer is under way.
+
+        What stays noted for each of them would fill the memory, and its endpoint
+        would seem busier with each page closed.
+        """
+        routing = self.build(complete)
+        hanging = asyncio.Event()
+
+        async def hang(endpoint, request):
+            hanging.set()
+            await asyncio.Event().wait()
+
+        routing._places = routing._places._replace(call=hang)
+        task = asyncio.create_task(self.route(routing))
+        await hanging.wait()
+        (attempt,) = routing._ledger._holdings
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual(0, self.ledger.get_remaining(attempt))
+        self.assertTrue(routing._ledger._holdings[attempt].closed)
+
+    async def test_a_loop_of_services_ends(self):
         """Two services call each other without end.
 
         Only the deadline would stop them, with thousands of calls in between.
@@ -259,7 +280,7 @@
             NOW + 5.0,
             via=("catalog",) * router.DEEPEST_PATH,
         )
-        routed = routing.route_nested(
+        routed = await routing.route_nested(
             router.Incoming("attempt-1", "catalog", "GET", "/"), holder
         )
         self.assertEqual(Reason.TOO_DEEP, routed.answer.reason)
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -34,13 +34,13 @@
     def test_all_findings_are_reported_at_once(self):
         with self.assertRaises(errors.InputErrors) as caught:
             read(
-                ["--address", "nowhere", "--threads", "x"],
+                ["--address", "nowhere", "--max-requests", "x"],
                 WHINWINCH_LEASE="nan",
                 WHINWINCH_LOGG="typing error",
             )
         places = [finding.place for finding in caught.exception.findings]
         self.assertEqual(
-            ["--address", "WHINWINCH_LEASE", "--threads", "WHINWINCH_LOGG"], places
+            ["--address", "WHINWINCH_LEASE", "--max-requests", "WHINWINCH_LOGG"], places
         )
 
     def test_missing_settings_are_named(self):
--- a/whinwinch/assembly.py
+++ b/whinwinch/assembly.py
@@ -24,8 +24,7 @@
     traces,
 )
 from .backends.gatekeeper import Gatekeeper
-from .daemons import client as peer_client
-from .guarded import Guarded
+from .daemons import frames, links
 from .lifecycle import Way
 from .logservice import relay, streams
 from .logservice.client import LogClient
@@ -48,9 +47,9 @@
     flights: flight.FlightCounter
     metrics: metrics.Metrics
     running: running.Running
-    ledger: Guarded
-    levels: Guarded
-    peers: peer_client.PeerClient
+    ledger: retries.Ledger
+    levels: levels.Levels
+    peers: links.Peers
     control: control.Control
     notes: recording.Notes
 
@@ -77,20 +76,19 @@
         streams.CONFIGURATION,
     )
     flights = flight.FlightCounter()
-    ledger = Guarded(retries.Ledger())
+    ledger = retries.Ledger()
 
     notes = build_notes(settings, own)
     config = build_relay(store, notes)
     counts = metrics.Metrics()
 
-    peers = peer_client.PeerClient(
-        loop.time, access.choose_peer_token(settings.peer_token)
-    )
+    token = access.choose_peer_token(settings.peer_token)
+    hello = frames.Hello(own, endpoint.address, token)
+    peers = links.Peers(hello, ignore_news)
 
     def tick(now):
-        peers.close_idle(now)
-        with ledger as state:
-            state.expire(now)
+        peers.drop_unused(now)
+        ledger.expire(now)
         if not store.ready and config.find_age(now) < math.inf:
             store.mark_ready()
 
@@ -106,7 +104,7 @@
         metrics=counts,
         running=running.Running(),
         ledger=ledger,
-        levels=Guarded(levels.Levels()),
+        levels=levels.Levels(),
         peers=peers,
         control=control.Control(
             loop,
@@ -123,6 +121,11 @@
     )
 
 
+def ignore_news(address, news):
+    """Take nothing from other daemons' greetings; gossip tells all of it."""
+    del address, news
+
+
 def build_notes(settings, own):
     """Return the functions that write the trace, if there is to be one."""
     if not settings.trace:
@@ -181,6 +184,10 @@
 
 def build_router(parts, gatekeeper):
     """Return the router of calls from callers and the own backend server."""
+
+    async def call(endpoint, request):
+        return await parts.peers.find(endpoint.address).call(request)
+
     return router.Router(
         clock=parts.loop.time,
         places=router.Places(
@@ -188,13 +195,11 @@
             find_endpoints=parts.members.find_endpoints,
             has_room=gatekeeper.has_room,
             serve=gatekeeper.serve,
-            call=parts.peers.call,
+            call=call,
         ),
         find_service=lambda name: parts.store.snapshot().find_service(name),
         match_call=resources.match_call,
-        placement_state=Guarded(
-            placement.Placement(parts.settings.zone, random.Random())
-        ),
+        placement_state=placement.Placement(parts.settings.zone, random.Random()),
         levels=parts.levels,
         ledger=parts.ledger,
         running=parts.running,
--- a/whinwinch/backends/app.py
+++ b/whinwinch/backends/app.py
@@ -1,56 +1,49 @@
-"""The WSGI callable on the loopback address, for the own backend server."""
+"""What the own backend server says on the loopback address."""
 
 import json
 
-from ..callers import answers, bodies
+from ..callers import answers
 from ..errors import Finding, InputErrors
+from ..http1.messages import HttpResponse
 from .registry import check_announcement
 
 ANNOUNCEMENT_PATH = "/announcement"
 LARGEST_ANNOUNCEMENT = 4096
 
 
-def build_app(calls, announce, withdraw):
-    """Return a WSGI callable for announcements and outgoing calls.
+def build_handler(calls, announce, withdraw):
+    """Return a coroutine function from a request and its sender to the answer.
 
     Args:
-        calls: WSGI callable for calls, see `callers.app.build_app`.
+        calls: The same for calls, see `callers.app.build_handler`.
         announce: Takes an `Announcement`.
         withdraw: Called when the backend server leaves.
     """
 
-    def serve_backend(environ, start_response):
-        path = environ.get("PATH_INFO", "")
+    async def serve_backend(http, sender):
+        path = http.target.partition("?")[0]
         if path.startswith("/services/"):
-            return calls(environ, start_response)
+            return await calls(http, sender)
         if path != ANNOUNCEMENT_PATH:
-            return _respond(start_response, 404, [Finding("path", "is not known")])
-        return _serve_announcement(environ, start_response, announce, withdraw)
+            return answers.form_findings(404, [Finding("path", "is not known")])
+        return _serve_announcement(http, announce, withdraw)
 
     return serve_backend
 
 
-def _serve_announcement(environ, start_response, announce, withdraw):
-    method = environ["REQUEST_METHOD"]
-    if method == "DELETE":
+def _serve_announcement(http, announce, withdraw):
+    if http.method == "DELETE":
         withdraw()
-        return _respond(start_response, 204, [])
-    if method != "PUT":
-        return _respond(start_response, 405, [Finding("method", "must be PUT")])
-    body = bodies.read_body(environ, LARGEST_ANNOUNCEMENT)
-    if body.finding is not None:
-        return _respond(start_response, body.status, [body.finding])
+        return HttpResponse(204, "No Content")
+    if http.method != "PUT":
+        return answers.form_findings(405, [Finding("method", "must be PUT")])
+    if len(http.body) > LARGEST_ANNOUNCEMENT:
+        problem = f"must have at most {LARGEST_ANNOUNCEMENT} bytes"
+        return answers.form_findings(413, [Finding("body", problem)])
     try:
-        announce(check_announcement(json.loads(body.data)))
+        announce(check_announcement(json.loads(http.body)))
     except ValueError as error:
-        return _respond(start_response, 400, [Finding("body", f"is no JSON: {error}")])
+        return answers.form_findings(400, [Finding("body", f"is no JSON: {error}")])
     except InputErrors as errors:
-        return _respond(start_response, 400, errors.findings)
-    return _respond(start_response, 204, [])
-
-
-def _respond(start_response, status, findings):
-    body = answers.build_findings_body(findings) if findings else b""
-    pairs = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-    start_response(answers.format_status(status), pairs)
-    return [body]
+        return answers.form_findings(400, errors.findings)
+    return HttpResponse(204, "No Content")
--- a/whinwinch/backends/client.py
+++ b/whinwinch/backends/client.py
@@ -1,97 +1,50 @@
-"""Requests to the backend server beside the daemon, over HTTP."""
+"""Attempts for the backend server beside the daemon, over HTTP."""
 
-import urllib3
+from absl import logging
 
+from ..http1 import client
+from ..http1.messages import HttpRequest, drop_headers, format_request
 from ..messages import Answer, Outcome, Reason, build_failure
 
-CONNECT_TIMEOUT = 1.0
-# These belong to one connection, not to the request or the answer.
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 class BackendClient:
     """Kept connections to one backend server.
 
     Args:
         address: "host:port" of the backend server.
-        connections: Connections that it accepts.
         max_body: Largest answer taken, in bytes.
     """
 
-    def __init__(self, address, connections, max_body):
+    def __init__(self, address, max_body):
         host, _, port = address.rpartition(":")
-        self._max_body = max_body
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, block=False, retries=False
-        )
+        self._address = address
+        self._pool = client.Pool(host, int(port), max_body)
 
-    def forward(self, request, left):
+    async def forward(self, request, left):
         """Send one attempt and return its answer; never raises for the network.
 
         Args:
             request: The attempt.
             left: Seconds until its deadline.
         """
-        timeout = urllib3.Timeout(connect=min(left, CONNECT_TIMEOUT), total=left)
+        data = _form_request(request, left, self._address)
+        is_head = request.method == "HEAD"
         try:
-            response = self._pool.urlopen(
-                request.method,
-                request.path,
-                body=request.body or None,
-                headers=_build_headers(request, left),
-                timeout=timeout,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-            )
-            return self._read_answer(request, response)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ):
-            # No connection, so not a byte has been sent.
+            response = await self._pool.exchange(data, request.deadline, is_head)
+        except client.NotSentError as error:
+            logging.info("backend server not reached: %s", error)
             return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT, 503)
-        except urllib3.exceptions.TimeoutError:
-            return build_failure(request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
-        except (urllib3.exceptions.HTTPError, OSError):
+        except client.BrokenError as error:
+            logging.info("attempt=%s broken: %s", request.attempt, error)
             return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
-
-    def _read_answer(self, request, response):
-        """Read the whole body; half of one is no answer."""
-        try:
-            body = response.read(self._max_body + 1)
-            if len(body) > self._max_body:
-                response.close()
-                return build_failure(request, Outcome.UNKNOWN, Reason.BROKEN, 502)
-            # Reading on to the end makes urllib3 check the length: a backend
-            # server that died half way shows only here.
-            body += response.read()
-        finally:
-            response.release_conn()
-        headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
-        )
+        except TimeoutError:
+            return build_failure(request, Outcome.UNKNOWN, Reason.DEADLINE, 504)
         return Answer(
             request.attempt,
             Outcome.COMPLETED,
             status=response.status,
-            headers=headers,
-            body=body,
+            headers=drop_headers(response.headers),
+            body=response.body,
         )
 
     def close(self):
@@ -99,14 +52,15 @@
         self._pool.close()
 
 
-def _build_headers(request, left):
-    headers = urllib3.HTTPHeaderDict()
-    for name, value in request.headers:
-        if name.lower() not in HOP_HEADERS:
-            headers.add(name, value)
-    headers["X-Request-Id"] = request.attempt
-    headers["Whinwinch-Root"] = request.root
-    headers["Whinwinch-Timeout"] = str(max(1, int(left * 1000)))
+def _form_request(request, left, address):
+    """Return the bytes of an attempt, with what the daemon states itself."""
+    headers = [
+        *request.headers,
+        ("X-Request-Id", request.attempt),
+        ("Whinwinch-Root", request.root),
+        ("Whinwinch-Timeout", str(max(1, int(left * 1000)))),
+    ]
     if request.key:
-        headers["Idempotency-Key"] = request.key
-    return headers
+        headers.append(("Idempotency-Key", request.key))
+    http = HttpRequest(request.method, request.path, tuple(headers), request.body)
+    return format_request(http, address)
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -1,10 +1,10 @@
 """Guards the own backend server: admission, wait, claim, run, answer."""
 
-import threading
-from typing import NamedTuple
+import asyncio
 
 from .. import attempts, claims, decisions, gate, messages, recording
 from ..messages import Answer, Outcome, Reason
+from . import slots
 from .client import BackendClient
 
 # While the log is slow, work that waits for its claim holds slots. This share
@@ -15,24 +15,17 @@
 DEFAULT_RETRY_AFTER = 1.0
 
 
-class Waiter(NamedTuple):
-    """A thread that waits for the gate's decision, and where it finds it."""
-
-    event: threading.Event
-    decided: list
-
-
 class Gatekeeper:
-    """The state around one backend server; safe to use from threads.
+    """The state around one backend server.
 
     Args:
         clock: Returns the loop's time in seconds.
-        claim: Takes a `Request`, returns a `claims.ClaimVerdict`; blocks while
-            the log decides, at most until the deadline.
+        claim: Coroutine function from a `Request` to a `claims.ClaimVerdict`; it
+            waits while the log decides, at most until the deadline.
         note_end: Takes a `Request` and its `Answer`; notes in the log how
             claimed work ended.
-        ledger: `retries.Ledger` of the attempts inside, `guarded`.
-        levels: `levels.Levels` of the daemon, `guarded`.
+        ledger: `retries.Ledger` of the attempts inside.
+        levels: `levels.Levels` of the daemon.
         running: `running.Running`.
         takes_work: Returns whether new work is taken.
         max_body: Largest answer taken, in bytes.
@@ -63,37 +56,30 @@
         self._max_body = max_body
         self._find_service = find_service
         self._notes = notes
-        self._lock = threading.Lock()
-        self._gate = None
+        self._slots = slots.Slots()
         self._client = None
         self._attempts = attempts.Attempts()
-        self._waiters = {}
         self._claiming = 0
+        self._detached = set()
         self.service = ""
 
     def install(self, announcement):
         """Guard the backend server of an announcement, or none."""
-        with self._lock:
-            if announcement is None:
-                self._client = None
-                self.service = ""
-                return
-            self.service = announcement.service
-            self._client = BackendClient(
-                announcement.address, announcement.connections, self._max_body
-            )
-            if self._gate is None:
-                self._gate = gate.Gate(announcement.slots, self._clock())
-                return
-            self._deliver(self._gate.resize(announcement.slots, self._clock()))
+        if announcement is None:
+            self._client = None
+            self.service = ""
+            return
+        self.service = announcement.service
+        self._client = BackendClient(announcement.address, self._max_body)
+        if self._slots.are_known:
+            self._slots.resize(announcement.slots)
+        else:
+            self._slots.open(announcement.slots)
 
     def has_room(self):
         """Return whether a request would be admitted without a wait."""
-        with self._lock:
-            if self._client is None or not self._takes_work():
-                return False
-            load = self._gate.load(self._clock())
-        return not load.waiting and load.in_service < load.limit
+        takes_work = self._client is not None and self._takes_work()
+        return takes_work and self._slots.has_room
 
     def load(self, request=None):
         """Return the load of the backend server as the gate sees it.
@@ -101,59 +87,39 @@
         Args:
             request: The request that asks, for the level of its own flow.
         """
-        with self._lock:
-            if self._gate is None:
-                return messages.Load()
-            return self._gate.load(self._clock(), request)
+        return self._slots.load(request)
 
-    def serve(self, request):
+    async def serve(self, request):
         """Serve one attempt and return its answer."""
         refused = self._refuse_for_below(request)
         if refused is not None:
             return refused
-        decision, waiter = self._offer(request)
-        if waiter is not None:
-            decision = self._wait(request, waiter, decision.expires)
+        decision = await self._decide(request)
         admitted = decision.verdict is gate.Verdict.ADMIT
         self._notes.admission(request, admitted)
         if admitted:
-            answer = self._serve_admitted(request)
-        else:
-            answer = self._refuse(request, decision)
+            return await self._serve_to_the_end(request)
+        answer = self._refuse(request, decision)
         self._notes.answered(answer)
         return answer
 
-    def expire(self):
-        """Refuse waiting requests whose time is over; called now and then."""
-        with self._lock:
-            if self._gate is not None:
-                self._deliver(self._gate.expire(self._clock()))
-
-    def _offer(self, request):
-        """Return the gate's decision and, when it is to wait, the waiter."""
-        now = self._clock()
-        with self._lock:
-            reason = self._check(request, now)
-            if reason is not None:
-                return _build_refusal(request, reason), None
-            self._gate.limit_wait(self._find_service(request.service).max_wait)
-            decision = self._gate.offer(request, now)
-            # A more important request may have taken the place of a waiting
-            # one, which is told at once instead of when its time is over.
-            self._deliver(self._gate.expire(now))
-            waiter = None
-            if decision.verdict is gate.Verdict.WAIT:
-                waiter = Waiter(threading.Event(), [])
-                self._waiters[request.attempt] = waiter
-        return decision, waiter
+    async def _decide(self, request):
+        """Return the decision on an attempt, of the gate or before it."""
+        reason = self._check(request, self._clock())
+        if reason is not None:
+            return _build_refusal(request, reason)
+        most_wait = self._find_service(request.service).max_wait
+        decision = await self._slots.decide(request, most_wait)
+        if decision.verdict is gate.Verdict.REFUSE and not decision.retry_after:
+            return decision._replace(retry_after=DEFAULT_RETRY_AFTER)
+        return decision
 
     def _refuse_for_below(self, request):
         """Refuse what the calls below would be refused for, or return None.
 
         Let in, it would take a slot here for an answer that can't be whole.
         """
-        with self._levels as levels:
-            decision = levels.refuse_below(request, self._clock())
+        decision = self._levels.refuse_below(request, self._clock())
         if decision is None:
             return None
         self._notes.admission(request, False)
@@ -173,62 +139,46 @@
             return Reason.ABANDONED
         return None
 
-    def _wait(self, request, waiter, expires):
-        """Wait until the gate has decided; it has by `expires` at the latest."""
-        waiter.event.wait(max(0.0, expires - self._clock()))
-        if not waiter.event.is_set():
-            self.expire()
-        if not waiter.event.is_set():
-            self._withdraw(request)
-        with self._lock:
-            self._waiters.pop(request.attempt, None)
-        if waiter.decided:
-            return waiter.decided[0]
-        return _build_refusal(request, Reason.DEADLINE)
-
-    def _withdraw(self, request):
-        """Take a waiting request out of the gate, for good."""
-        with self._lock:
-            self._deliver(self._gate.withdraw(request.attempt, self._clock()))
-
-    def _deliver(self, woken):
-        """Hand the gate's decisions to the threads that wait for them.
-
-        Called inside the lock in which the gate decided. Outside it a thread
-        whose wait ends just then would find no decision and give up, although
-        the gate has admitted it: its slot would stay taken for ever.
+    async def _serve_to_the_end(self, request):
+        """Serve an admitted attempt; claimed work also if its caller hangs up.
+
+        Broken off half way, a payout has perhaps been made, and its claim keeps
+        the caller that asks again from ever learning of it.
         """
-        for decision in woken:
-            waiter = self._waiters.get(decision.attempt)
-            if waiter is not None:
-                waiter.decided.append(decision)
-                waiter.event.set()
+        if not request.key:
+            return await self._serve_admitted(request)
+        task = asyncio.get_running_loop().create_task(self._serve_admitted(request))
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return await asyncio.shield(task)
 
-    def _serve_admitted(self, request):
+    async def _serve_admitted(self, request):
         started = self._clock()
         answer = None
         try:
-            answer = self._claim_and_run(request)
+            answer = await self._claim_and_run(request)
         finally:
             self._leave(request, answer, started)
-        return answer._replace(
-            load=self.load(request)._replace(below=answer.load.below)
-        )
+            if answer is None:
+                # Its caller has hung up: the attempt ends, nobody knows how.
+                self._notes.answered(
+                    messages.build_failure(request, Outcome.UNKNOWN, Reason.ABANDONED)
+                )
+        below = answer.load.below
+        answer = answer._replace(load=self.load(request)._replace(below=below))
+        self._notes.answered(answer)
+        return answer
 
     def _leave(self, request, answer, started):
-        now = self._clock()
         ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
         succeeded = answer is not None and answer.succeeded
-        with self._lock:
-            woken = self._gate.finish(
-                request.attempt, now, now - started if ran else None, succeeded
-            )
-            self._deliver(woken)
+        seconds = self._clock() - started if ran else None
+        self._slots.leave(request, seconds, succeeded)
 
-    def _claim_and_run(self, request):
+    async def _claim_and_run(self, request):
         if not request.key:
-            return self._run(request)
-        verdict = self._claim_within_share(request)
+            return await self._run(request)
+        verdict = await self._claim_within_share(request)
         if verdict is None:
             return _build_not_run(request, Reason.QUEUE)
         decisions.log_decision(
@@ -238,24 +188,22 @@
         )
         if verdict.verdict is not claims.Verdict.WON:
             return _answer_claim(request, verdict)
-        answer = self._run(request)
+        answer = await self._run(request)
         self._note_end(request, answer)
         return answer
 
-    def _claim_within_share(self, request):
+    async def _claim_within_share(self, request):
         """Return the log's verdict, or None when too many wait for theirs."""
-        with self._lock:
-            limit = max(1, int(self._gate.load(self._clock()).limit * CLAIMING_SHARE))
-            if self._claiming >= limit:
-                return None
-            self._claiming += 1
+        limit = max(1, int(self._slots.load().limit * CLAIMING_SHARE))
+        if self._claiming >= limit:
+            return None
+        self._claiming += 1
         try:
-            return self._claim(request)
+            return await self._claim(request)
         finally:
-            with self._lock:
-                self._claiming -= 1
+            self._claiming -= 1
 
-    def _run(self, request):
+    async def _run(self, request):
         """Hand the request to the backend server."""
         # Read again after the wait and the claim: a process that was paused
         # there must not start work that its caller has given up on.
@@ -264,29 +212,20 @@
         if left <= 0 or client is None:
             reason = Reason.DEADLINE if left <= 0 else Reason.NO_ENDPOINT
             return _build_not_run(request, reason)
-        with self._ledger as ledger:
-            ledger.open(request.attempt, request.budget, request.deadline)
+        self._ledger.open(request.attempt, request.budget, request.deadline)
         self._running.start(request)
-        answer = client.forward(request, left)
-        self._notes.run(request, answer)
-        below = self._running.finish(request.attempt)
+        try:
+            answer = await client.forward(request, left)
+            self._notes.run(request, answer)
+        finally:
+            # Also when the caller has hung up: nothing may stay noted as inside.
+            below = self._running.finish(request.attempt)
+            unused = self._ledger.close(request.attempt)
         if answer.outcome is Outcome.COMPLETED:
             # Also of requests that called nobody: where only some of a flow
             # call on, the others must not be refused for the calls of these.
-            with self._levels as levels:
-                levels.learn_below(request, below.level, self._clock())
-        return self._complete_answer(request, answer, below)
-
-    def _complete_answer(self, request, answer, below):
-        """Add what the calls below have met and return the unused budget."""
-        with self._ledger as ledger:
-            unused = ledger.close(request.attempt)
-        answer = answer._replace(unused=unused, load=messages.Load(below=below.level))
-        if not answer.is_server_error or not below.refused:
-            return answer
-        return answer._replace(
-            deeper=True, reason=Reason.DEEPER, retry_after=below.retry_after
-        )
+            self._levels.learn_below(request, below.level, self._clock())
+        return _complete_answer(answer, below, unused)
 
     def _refuse(self, request, decision):
         decisions.log_refusal(
@@ -296,11 +235,20 @@
         if decision.reason is Reason.ABANDONED:
             # The first copy of this message may be running.
             answer = answer._replace(outcome=Outcome.UNKNOWN, unused=0)
-        with self._levels as levels:
-            below = levels.below(request, self._clock())
+        below = self._levels.below(request, self._clock())
         return answer._replace(load=self.load(request)._replace(below=below))
 
 
+def _complete_answer(answer, below, unused):
+    """Return an answer with what the calls below have met and the unused budget."""
+    answer = answer._replace(unused=unused, load=messages.Load(below=below.level))
+    if not answer.is_server_error or not below.refused:
+        return answer
+    return answer._replace(
+        deeper=True, reason=Reason.DEEPER, retry_after=below.retry_after
+    )
+
+
 def _build_refusal(request, reason):
     return gate.Decision(
         request.attempt, gate.Verdict.REFUSE, reason, DEFAULT_RETRY_AFTER, 0.0
--- a/whinwinch/callers/answers.py
+++ b/whinwinch/callers/answers.py
@@ -5,8 +5,18 @@
 import math
 
 from ..errors import Finding
+from ..http1.messages import HttpResponse
 from ..messages import Outcome, Reason
 
+JSON_TYPE = ("Content-Type", "application/json")
+# What a request that can't be read as HTTP is told, by status.
+UNREADABLE = {
+    400: Finding("request", "is no whole HTTP/1.1 request"),
+    408: Finding("head", "did not come in time"),
+    413: Finding("body", "is too large"),
+    431: Finding("head", "is too large"),
+}
+
 STATUSES = {
     Reason.SHARE: 429,
     Reason.DEADLINE: 504,
@@ -98,10 +108,48 @@
     return (json.dumps(document) + "\n").encode()
 
 
-def format_status(status):
-    """Return the status line's text, for example "404 Not Found"."""
+def find_phrase(status):
+    """Return the text behind a status code, for example "Not Found"."""
     try:
-        phrase = http.HTTPStatus(status).phrase
+        return http.HTTPStatus(status).phrase
     except ValueError:
-        phrase = "Unknown"
-    return f"{status} {phrase}"
+        return "Unknown"
+
+
+def form_answer(routed):
+    """Return the `HttpResponse` for the end of a call."""
+    answer = routed.answer
+    pairs = build_headers(routed)
+    if answer.outcome is Outcome.COMPLETED:
+        named = {name.lower() for name, _ in pairs}
+        pairs += [pair for pair in answer.headers if pair[0].lower() not in named]
+        body = answer.body
+    else:
+        pairs.append(JSON_TYPE)
+        body = build_body(answer)
+    return _form(choose_status(answer), pairs, body)
+
+
+def form_findings(status, findings, identifier=""):
+    """Return the `HttpResponse` that lists everything wrong with a request."""
+    pairs = [
+        ("X-Request-Id", identifier),
+        ("Whinwinch-Outcome", Outcome.NOT_RUN.value),
+        ("Whinwinch-Reason", Reason.BAD_REQUEST.value),
+        JSON_TYPE,
+    ]
+    return _form(status, pairs, build_findings_body(findings))
+
+
+def form_unreadable(status):
+    """Return the `HttpResponse` to what can't be read as a request."""
+    return form_findings(status, [UNREADABLE[status]])
+
+
+def form_text(status, text):
+    """Return an `HttpResponse` of plain text."""
+    return _form(status, [("Content-Type", "text/plain")], text.encode())
+
+
+def _form(status, pairs, body):
+    return HttpResponse(status, find_phrase(status), tuple(pairs), body)
--- a/whinwinch/callers/headers.py
+++ b/whinwinch/callers/headers.py
@@ -1,10 +1,10 @@
 """Reading of a call's HTTP headers, with all findings at once."""
 
 import re
-import urllib.parse
 from typing import NamedTuple
 
 from ..errors import Finding
+from ..http1.messages import drop_headers, find_header
 from ..messages import Importance
 from ..router import Incoming
 
@@ -27,22 +27,25 @@
     Importance.LOW,
     Importance.LOW,
 )
-# Read here or belonging to this hop; everything else is handed on.
+# Read here; a backend server is told its own by the gatekeeper.
 OWN_HEADERS = frozenset(
     {
-        "HTTP_CONNECTION",
-        "HTTP_HOST",
-        "HTTP_IDEMPOTENCY_KEY",
-        "HTTP_KEEP_ALIVE",
-        "HTTP_TE",
-        "HTTP_TRAILER",
-        "HTTP_TRANSFER_ENCODING",
-        "HTTP_UPGRADE",
-        "HTTP_WHINWINCH_ROOT",
-        "HTTP_WHINWINCH_TIMEOUT",
-        "HTTP_X_REQUEST_ID",
+        "host",
+        "idempotency-key",
+        "whinwinch-root",
+        "whinwinch-timeout",
+        "x-request-id",
     }
 )
+# Sent twice with two values, one reader would take the first and the next one
+# the second: the key that is claimed would not be the key that is run.
+SINGLE_HEADERS = (
+    "Host",
+    "Idempotency-Key",
+    "Whinwinch-Caller",
+    "Whinwinch-Timeout",
+    "X-Request-Id",
+)
 
 
 class Parsed(NamedTuple):
@@ -52,49 +55,46 @@
     findings: tuple[Finding, ...]
 
 
-def parse_call(environ, body):
-    """Read a call from a WSGI environment.
+def parse_call(http, address):
+    """Read a call from an HTTP request.
 
     Args:
-        environ: The WSGI environment.
-        body: The whole body.
+        http: The whole `http1.messages.HttpRequest`.
+        address: IP number that it came from.
 
     Returns:
         `Parsed`; with findings, nothing of it may be run.
     """
     findings = []
-    service, path = _split_path(environ, findings)
+    service, path = _split_path(http.target, findings)
+    given = http.headers
     incoming = Incoming(
-        identifier=_read_identifier(environ, findings),
+        identifier=_read_identifier(find_header(given, "x-request-id"), findings),
         service=service,
-        method=environ["REQUEST_METHOD"],
+        method=http.method,
         path=path,
-        importance=_read_importance(environ, findings),
-        timeout=_read_timeout(environ, findings),
-        key=_read_key(environ, findings),
-        caller=_read_caller(environ, findings),
-        headers=_collect_headers(environ),
-        body=body,
+        importance=_read_importance(find_header(given, "priority"), findings),
+        timeout=_read_timeout(find_header(given, "whinwinch-timeout"), findings),
+        key=_read_key(find_header(given, "idempotency-key"), findings),
+        caller=_read_caller(find_header(given, "whinwinch-caller"), address, findings),
+        headers=_collect_headers(given),
+        body=http.body,
     )
+    findings.extend(_find_repeated(given))
     return Parsed(incoming, tuple(findings))
 
 
-def _split_path(environ, findings):
-    # WSGI gives the path decoded; quoting again keeps a "?" or a space in a
-    # segment from changing what the backend server sees.
-    path = environ.get("PATH_INFO", "").encode("latin-1")
-    text = urllib.parse.quote(path, safe="/:@!$&'()*+,;=~-._")
-    service, _, rest = text.removeprefix(PREFIX).partition("/")
-    if not SERVICE.match(service):
+def _split_path(target, findings):
+    path, mark, query = target.partition("?")
+    service, _, rest = path.removeprefix(PREFIX).partition("/")
+    if not path.startswith(PREFIX) or not SERVICE.match(service):
         findings.append(
             Finding("path", "must be /services/SERVICE/PATH; letters, digits, -")
         )
-    query = environ.get("QUERY_STRING", "")
-    return service, f"/{rest}?{query}" if query else f"/{rest}"
+    return service, f"/{rest}{mark}{query}" if query else f"/{rest}"
 
 
-def _read_identifier(environ, findings):
-    text = environ.get("HTTP_X_REQUEST_ID", "")
+def _read_identifier(text, findings):
     if text and not IDENTIFIER.match(text):
         findings.append(
             Finding("X-Request-Id", "must be 1 to 128 of A-Z a-z 0-9 . _ : -")
@@ -103,8 +103,7 @@
     return text
 
 
-def _read_importance(environ, findings):
-    text = environ.get("HTTP_PRIORITY", "")
+def _read_importance(text, findings):
     if not text:
         return None
     found = URGENCY.search(text)
@@ -115,8 +114,7 @@
     return None
 
 
-def _read_timeout(environ, findings):
-    text = environ.get("HTTP_WHINWINCH_TIMEOUT", "")
+def _read_timeout(text, findings):
     if not text:
         return None
     if not text.isascii() or not text.isdigit() or not 0 < int(text[:9]):
@@ -132,8 +130,8 @@
     return int(text) / 1000
 
 
-def _read_key(environ, findings):
-    text = environ.get("HTTP_IDEMPOTENCY_KEY", "").strip('"')
+def _read_key(given, findings):
+    text = given.strip('"')
     if len(text) > LONGEST_KEY:
         findings.append(
             Finding("Idempotency-Key", f"must have at most {LONGEST_KEY} characters")
@@ -141,27 +139,30 @@
     return text
 
 
-def _read_caller(environ, findings):
-    text = environ.get("HTTP_WHINWINCH_CALLER", "")
+def _read_caller(text, address, findings):
     if len(text) > LONGEST_CALLER or not text.isprintable():
         findings.append(
             Finding("Whinwinch-Caller", "must have at most 64 printable characters")
         )
     # A caller without a name is told apart by its address, so that one of them
     # can't take the share of all the nameless ones.
-    return text or environ.get("REMOTE_ADDR", "")
+    return text or address
+
 
+def _collect_headers(given):
+    """Return the headers for the backend server.
 
-def _collect_headers(environ):
-    pairs = [
-        (_name_header(name), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_") and name not in OWN_HEADERS
-    ]
-    if environ.get("CONTENT_TYPE"):
-        pairs.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return tuple(pairs)
+    Names with an underscore are dropped: many servers can't tell them from those
+    with a dash, so that one could stand in for the other unseen.
+    """
+    return tuple(
+        pair for pair in drop_headers(given, OWN_HEADERS) if "_" not in pair[0]
+    )
 
 
-def _name_header(variable):
-    return variable.removeprefix("HTTP_").replace("_", "-").title()
+def _find_repeated(given):
+    """Yield a finding for each header that must come once and comes again."""
+    names = [name.lower() for name, _ in given]
+    for name in SINGLE_HEADERS:
+        if names.count(name.lower()) > 1:
+            yield Finding(name, "must come only once")
--- a/whinwinch/control.py
+++ b/whinwinch/control.py
@@ -1,8 +1,4 @@
-"""State of a daemon that its event loop owns: backend server, lifecycle, claims.
-
-Other threads reach it by messages to the loop. What they need at every request
-(whether work is taken, who has claimed what) is published or awaited.
-"""
+"""State of a daemon: backend server, lifecycle, claims."""
 
 import asyncio
 
@@ -15,13 +11,10 @@
 from .logservice.client import LogUnavailable
 
 TICK_INTERVAL = 0.25
-# A claim is decided within the claimer's patience; a thread that waits longer
-# than this waits for a loop that has stopped.
-CLAIM_TIMEOUT = 2 * claimer.PATIENCE
 
 
 class Control:
-    """Owned by the event loop; the methods marked so may be called by threads.
+    """What the daemon beside a backend server knows of it and of itself.
 
     Args:
         loop: The event loop.
@@ -62,18 +55,22 @@
         self._claimer_tasks = set()
         self._install = None
         self._wake = None
+        self._let_go = None
         self.stopped = asyncio.Event()
 
-    def connect(self, install, wake):
+    def connect(self, install, wake, let_go):
         """Say who is told of changes.
 
         Args:
             install: Takes the new `Announcement` or None: the gatekeeper.
             wake: Lets gossip tell the news at once instead of with its next
                 probe, so that callers needn't be refused by who leaves.
+            let_go: Lets callers open their next connection elsewhere, once this
+                daemon leaves.
         """
         self._install = install
         self._wake = wake
+        self._let_go = let_go
 
     @property
     def announcement(self):
@@ -82,35 +79,27 @@
 
     @property
     def phase(self):
-        """The daemon's `lifecycle.Phase`; may be read by any thread."""
+        """The daemon's `lifecycle.Phase`."""
         return self._lifecycle.phase
 
     def admits(self, way):
-        """Return whether work of a `lifecycle.Way` is taken; for any thread."""
+        """Return whether work of a `lifecycle.Way` is taken."""
         return lifecycle.admits(self._lifecycle, way)
 
-    def announce_soon(self, announcement):
-        """Take an announcement; for any thread."""
-        self._loop.call_soon_threadsafe(self._announce, announcement)
-
-    def withdraw_soon(self):
-        """Let the backend server leave; for any thread."""
-        self._loop.call_soon_threadsafe(self._withdraw)
-
-    def drain_soon(self):
-        """Leave in good order and stop; for any thread."""
-        self._loop.call_soon_threadsafe(self.begin_leaving)
-
-    def claim(self, request):
-        """Return the log's verdict on a claim; blocks; for request threads."""
-        future = asyncio.run_coroutine_threadsafe(self._claim(request), self._loop)
-        verdict = _await_verdict(future)
+    async def claim(self, request):
+        """Return the log's verdict on a claim."""
+        task = self._find_claimer(request.service)
+        verdict = await task.claim(request.key, request.attempt, request.deadline)
         self._count_claim(verdict.verdict.value)
         return verdict
 
     def note_end(self, request, answer):
-        """Note in the log how claimed work ended; for request threads."""
-        self._loop.call_soon_threadsafe(self._note_end, request, answer)
+        """Note in the log how claimed work ended."""
+        task = self._find_claimer(request.service)
+        if answer.outcome is messages.Outcome.NOT_RUN:
+            task.release(request.key, request.attempt)
+        elif answer.outcome is messages.Outcome.COMPLETED:
+            task.note_done(request.key, request.attempt, answer.status)
 
     def begin_leaving(self):
         """Take no new work, finish what is in flight, then stop."""
@@ -125,6 +114,7 @@
         )
         logging.info("lifecycle phase=leaving until=%.3f", self._lifecycle.until)
         self._notes.phase(self.phase)
+        self._let_go()
         self._publish_membership(now)
 
     async def run(self):
@@ -145,7 +135,8 @@
             logging.info("lifecycle phase=stopped ground=%r", self._lifecycle.ground)
             self._notes.phase(self.phase)
 
-    def _announce(self, announcement):
+    def announce(self, announcement):
+        """Take an announcement of the backend server."""
         if not self._registry.announce(announcement, self._loop.time()):
             return
         self._lifecycle = lifecycle.mark_backend(self._lifecycle, False)
@@ -158,8 +149,8 @@
         self._install(announcement)
         self._publish_membership(self._loop.time())
 
-    def _withdraw(self):
-        """The backend server drains: no new work, but it ends what it has."""
+    def withdraw(self):
+        """Take that the backend server drains: no new work, but it ends its own."""
         if not self._registry.withdraw():
             return
         logging.info("backend withdrawn")
@@ -182,17 +173,6 @@
         self._membership.announce(service, slots, leaving, now)
         self._wake()
 
-    async def _claim(self, request):
-        task = self._find_claimer(request.service)
-        return await task.claim(request.key, request.attempt, request.deadline)
-
-    def _note_end(self, request, answer):
-        task = self._find_claimer(request.service)
-        if answer.outcome is messages.Outcome.NOT_RUN:
-            task.release(request.key, request.attempt)
-        elif answer.outcome is messages.Outcome.COMPLETED:
-            task.note_done(request.key, request.attempt, answer.status)
-
     def _find_claimer(self, service):
         """Return the claimer of a service; it costs nothing before its first claim."""
         found = self._claimers.get(service)
@@ -222,17 +202,3 @@
                 logging.warning("claims not flushed: the log does not answer")
         for task in self._claimer_tasks:
             task.cancel()
-
-
-def _await_verdict(future):
-    """Return the verdict of a claim, or LOG_DOWN when the loop gives none."""
-    try:
-        return future.result(CLAIM_TIMEOUT)
-    except TimeoutError:
-        # Cancelling fails when the verdict has just come. Left unread, a claim
-        # that won would keep its key although nobody runs the work.
-        if not future.cancel():
-            return future.result()
-        return claims.ClaimVerdict(
-            claims.Verdict.LOG_DOWN, retry_after=claimer.PATIENCE
-        )
--- a/whinwinch/daemon.py
+++ b/whinwinch/daemon.py
@@ -6,13 +6,15 @@
 
 from absl import flags, logging
 
-from . import __version__, assembly, entrances, tasks
-from .callers import server as http_server
+from . import __version__, assembly, entrances, loops, tasks
 from .daemons import gossip
 from .operators import access
 
-# Threads for what blocks in control: gossip sent, the log read and appended to.
+# Threads for what blocks in control: the log read and appended to.
 CONTROL_THREADS = 12
+# After the stop the last answers still have this long to get through.
+CLOSE_SECONDS = 0.5
+CLOSE_TICK = 0.02
 
 
 def run(settings):
@@ -21,6 +23,7 @@
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(getattr(logging, settings.verbosity.upper()))
+    loops.install_loop()
     return asyncio.run(serve(settings))
 
 
@@ -35,9 +38,13 @@
     parts = assembly.build_parts(settings, loop)
     gatekeeper = assembly.build_gatekeeper(parts)
     talk = gossip.build_gossip(parts.members, parts.relay, tasks.build_send(parts))
-    parts.control.connect(gatekeeper.install, talk.wake.set)
-    peers = entrances.start_peer_server(parts, gatekeeper, talk)
-    http_server.start_engine(entrances.build_http_servers(parts, gatekeeper, operators))
+    servers = entrances.build_http_servers(parts, gatekeeper)
+    parts.control.connect(gatekeeper.install, talk.wake.set, servers.public.begin_stop)
+    exchange = entrances.build_exchange(parts, gatekeeper, talk)
+    await exchange.listen(*settings.peer_address)
+    await servers.public.listen(*settings.address)
+    await servers.private.listen(*settings.backend_address)
+    stop_admin = entrances.start_admin(parts, gatekeeper, operators)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, parts.control.begin_leaving)
     logging.info(
@@ -49,16 +56,24 @@
         settings.peer_address,
     )
     try:
-        await tasks.run_tasks(parts, gatekeeper, talk)
+        await tasks.run_tasks(parts, talk, exchange)
     finally:
-        await loop.run_in_executor(None, stop_servers, parts, peers)
+        await stop_servers(parts, servers, exchange, stop_admin)
     return 0
 
 
-def stop_servers(parts, peers):
+async def stop_servers(parts, servers, exchange, stop_admin):
     """Close what listens, then what connects; nothing is in flight any more."""
     parts.store.close()
-    http_server.stop_engine()
-    peers.stop(grace=0.5).wait()
+    await asyncio.to_thread(stop_admin)
+    for server in servers:
+        server.begin_stop()
+        server.end_stop()
+    until = parts.loop.time() + CLOSE_SECONDS
+    while parts.loop.time() < until and not all(each.is_idle for each in servers):
+        await asyncio.sleep(CLOSE_TICK)
+    for server in servers:
+        server.abort()
+    exchange.close()
     parts.peers.close()
     parts.log.close()
--- a/whinwinch/daemons/gossip.py
+++ b/whinwinch/daemons/gossip.py
@@ -22,9 +22,6 @@
 PROBE_TIMEOUT = 1.0
 # A helper needs time for its own probe before it answers.
 HELPER_TIMEOUT = 2 * PROBE_TIMEOUT
-# Seconds after which a thread that waits for gossip, sent or to be answered, is
-# let go; longer than any of the waits above.
-THREAD_TIMEOUT = 3.0
 # News of the configuration go to so many partners at once. Four reach all of
 # 4,500 daemons with a chance of e^-4 to miss one, which a probe then makes up.
 PUSH_PARTNERS = 4
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -36,6 +36,9 @@
 # First pause and longest pause before an address that refused is tried again.
 FIRST_PAUSE = 0.05
 LONGEST_PAUSE = 1.0
+# A connection that is lost sooner was closed on purpose, by a daemon that stops or
+# lets this one not in: at once again, it would be tried a thousand times a second.
+SHORT_LIFE = 0.1
 # The called side answers by the deadline; its answer may travel a little longer.
 ANSWER_SECONDS = 0.1
 
@@ -55,7 +58,8 @@
         self._loop = loop
         self._unpacker = frames.build_unpacker()
         self.transport = None
-        self.received = loop.time()
+        self.since = loop.time()
+        self.received = self.since
         self.pinged = None
         self.greeted = loop.create_future()
 
@@ -197,7 +201,11 @@
             return
         self._link = None
         self._lost = self._loop.time()
-        self._next_try = 0.0
+        if self._lost - link.since < SHORT_LIFE:
+            self._wait_longer()
+        else:
+            self._pause = 0.0
+            self._next_try = 0.0
         self._log("lost", str(exc or "closed"), calls=len(self._pending))
         self._fail_gossip()
         if self._pending:
@@ -279,7 +287,6 @@
             self._give_up("the daemon has started anew")
         self.daemon = hello.daemon
         self._link = link
-        self._pause = 0.0
         if self._lost:
             seconds = self._loop.time() - self._lost
             self._log("regained", calls=len(self._pending), seconds=seconds)
@@ -328,9 +335,13 @@
         finally:
             self._connecting = None
 
-    def _fail_connect(self, link, error):
+    def _wait_longer(self):
+        """Put the next try off, twice as far as the last one."""
         self._pause = min(max(FIRST_PAUSE, 2 * self._pause), LONGEST_PAUSE)
         self._next_try = self._loop.time() + self._pause
+
+    def _fail_connect(self, link, error):
+        self._wait_longer()
         if link.transport is not None:
             link.transport.abort()
         if isinstance(error, ConnectionRefusedError):
--- a/whinwinch/entrances.py
+++ b/whinwinch/entrances.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import math
+from typing import NamedTuple
+
+from google.protobuf.message import DecodeError
 
 from . import (
     __version__,
@@ -12,87 +15,142 @@
     router,
 )
 from .backends import app as backend_app
+from .callers import answers
 from .callers import app as caller_app
-from .callers import server as http_server
-from .daemons import gossip
-from .daemons import server as peer_server
+from .daemons import exchange, frames, gossip, peer_pb2
+from .http1 import server as http_server
 from .lifecycle import Phase, Way
-from .messages import Answer, Outcome, Reason
-from .operators import api
+from .messages import Answer, Outcome, Reason, build_failure
+from .operators import access, api
+from .operators import server as admin_server
 
 SECONDS_TO_COME_BACK = 1.0
 # The only daemon of its mesh is ready after this, without a member list.
 ALONE_SECONDS = 5.0
+# An operator's request for the status waits this long for the event loop.
+STATUS_SECONDS = 5.0
+
+
+class HttpServers(NamedTuple):
+    """The servers for callers and for the own backend server."""
+
+    public: http_server.Server
+    private: http_server.Server
 
 
-def start_peer_server(parts, gatekeeper, talk):
-    """Start serving other daemons; return the server."""
+def build_exchange(parts, gatekeeper, talk):
+    """Return the `exchange.Exchange` that takes calls and gossip of daemons."""
 
-    def serve_call(request):
+    async def serve_call(request):
         parts.flights.start(Way.INWARD, parts.loop.time(), request.deadline)
         try:
-            return gatekeeper.serve(request)
+            return await gatekeeper.serve(request)
         finally:
             parts.flights.end(Way.INWARD)
 
-    def answer_gossip(message):
-        answer = gossip.answer_gossip(talk, message)
-        future = asyncio.run_coroutine_threadsafe(answer, parts.loop)
-        return future.result(gossip.THREAD_TIMEOUT)
-
-    servicer = peer_server.PeerServicer(
-        parts.own, serve_call, answer_gossip, parts.loop.time, parts.settings.peer_token
+    async def answer_gossip(data):
+        try:
+            message = peer_pb2.GossipMessage.FromString(data)
+        except DecodeError as error:
+            raise ValueError(str(error)) from error
+        answer = await gossip.answer_gossip(talk, message)
+        return answer.SerializeToString()
+
+    hello = frames.Hello(parts.own, parts.members.own.endpoint.address)
+    tokens = parts.settings.peer_token
+    return exchange.Exchange(
+        hello,
+        serve_call,
+        refuse_forgotten,
+        answer_gossip,
+        lambda token: not tokens or access.check_peer_token(token, tokens),
     )
-    return peer_server.start_server(servicer, parts.settings.peer_address)
 
 
-def build_http_servers(parts, gatekeeper, operators):
-    """Return pairs of address and server for callers and the backend server."""
+def refuse_forgotten(request):
+    """Answer an attempt that may have run and is no longer remembered."""
+    return build_failure(request, Outcome.UNKNOWN, Reason.ABANDONED)
+
+
+def build_http_servers(parts, gatekeeper):
+    """Return the `HttpServers`, which don't listen yet."""
     settings = parts.settings
     route = assembly.build_router(parts, gatekeeper)
-    calls = caller_app.build_app(
+    calls = caller_app.build_handler(
         build_root_route(parts, route),
-        settings.max_body,
-        settings.threads,
+        settings.max_requests,
         lambda: parts.flights.count(Way.ENTRY),
         parts.metrics.count_event,
     )
-    outgoing = caller_app.build_app(
+    outgoing = caller_app.build_handler(
         build_outgoing_route(parts, route),
-        settings.max_body,
-        settings.threads,
+        settings.max_requests,
         lambda: parts.flights.count(Way.OUTWARD),
         parts.metrics.count_event,
     )
-    public = http_server.build_dispatcher(
-        calls, build_admin(parts, gatekeeper, operators), build_probes(parts)
-    )
-    private = backend_app.build_app(
-        outgoing, parts.control.announce_soon, parts.control.withdraw_soon
+    public = build_dispatcher(calls, build_probes(parts))
+    private = backend_app.build_handler(
+        outgoing, parts.control.announce, parts.control.withdraw
     )
-    return (
-        (
-            settings.address,
-            http_server.build_server(settings.address, public, settings),
-        ),
-        (
-            settings.backend_address,
-            http_server.build_server(settings.backend_address, private, settings),
-        ),
+    limits = http_server.Limits(settings.max_header, settings.max_body)
+    refuse = build_refusal(parts.metrics.count_event)
+    return HttpServers(
+        http_server.Server(public, limits, refuse),
+        http_server.Server(private, limits, refuse),
     )
 
 
+def build_refusal(count_event):
+    """Return the function that answers what can't be read as a request."""
+
+    def refuse_unreadable(status):
+        count_event("unreadable")
+        return answers.form_unreadable(status)
+
+    return refuse_unreadable
+
+
+def build_dispatcher(calls, probes):
+    """Return the handler of the callers' address.
+
+    Args:
+        calls: Handler of what begins with ``/services/``.
+        probes: Maps a path such as ``/health`` to a function that returns the
+            status and the text of its answer.
+    """
+
+    async def dispatch(http, sender):
+        path = http.target.partition("?")[0]
+        if path.startswith("/services/"):
+            return await calls(http, sender)
+        probe = probes.get(path)
+        if probe is None:
+            return answers.form_text(404, "no such path\n")
+        return answers.form_text(*probe())
+
+    return dispatch
+
+
+def start_admin(parts, gatekeeper, operators):
+    """Start to serve operators, if told to; return the function that stops it."""
+    address = parts.settings.admin_address
+    if address is None:
+        return lambda: None
+    application = build_admin(parts, gatekeeper, operators)
+    return admin_server.start_server(address, application, parts.settings)
+
+
 def build_root_route(parts, route):
     """Return the function that routes a call from outside."""
 
-    def route_root(incoming):
+    async def route_root(incoming):
         now = parts.loop.time()
         reason = find_obstacle(parts)
         if reason is not None:
             return refuse_entry(incoming, reason)
         parts.flights.start(Way.ENTRY, now, now + (incoming.timeout or 0.0))
         try:
-            return route.route_root(incoming)
+            return await route.route_root(incoming)
         finally:
             parts.flights.end(Way.ENTRY)
 
@@ -102,7 +160,7 @@
 def build_outgoing_route(parts, route):
     """Return the function that routes a call of the own backend server."""
 
-    def route_outgoing(incoming):
+    async def route_outgoing(incoming):
         now = parts.loop.time()
         parts.flights.start(Way.OUTWARD, now, now + (incoming.timeout or 0.0))
         try:
@@ -110,10 +168,11 @@
                 return refuse_entry(incoming, Reason.NOT_READY)
             holder = parts.running.find(incoming.identifier)
             if holder is not None:
-                return route.route_nested(incoming, holder)
+                return await route.route_nested(incoming, holder)
             # A request that this daemon doesn't know, after a restart perhaps:
             # it is served, but may cause no retries.
-            return route.route_root(incoming, budget=0 if incoming.identifier else None)
+            budget = 0 if incoming.identifier else None
+            return await route.route_root(incoming, budget)
         finally:
             parts.flights.end(Way.OUTWARD)
 
@@ -189,16 +248,16 @@
     find_obstacle = build_readiness(parts)
 
     def check_health():
-        return "200 OK", "ok\n"
+        return 200, "ok\n"
 
     def check_readiness():
         obstacle = find_obstacle()
         if obstacle:
-            return "503 Service Unavailable", f"{obstacle}\n"
-        return "200 OK", "ready\n"
+            return 503, f"{obstacle}\n"
+        return 200, "ready\n"
 
     def render_metrics():
-        return "200 OK", parts.metrics.render_metrics()
+        return 200, parts.metrics.render_metrics()
 
     return {
         "/health": check_health,
@@ -208,13 +267,27 @@
 
 
 def build_admin(parts, gatekeeper, operators):
-    """Return the WSGI callable of the resource API."""
+    """Return the WSGI callable of the resource API.
+
+    It runs on threads; what belongs to the event loop is asked for there.
+    """
+
+    async def find_status():
+        return describe_status(parts, gatekeeper)
+
+    def ask_status():
+        future = asyncio.run_coroutine_threadsafe(find_status(), parts.loop)
+        return future.result(STATUS_SECONDS)
+
+    def begin_drain():
+        parts.loop.call_soon_threadsafe(parts.control.begin_leaving)
+
     return api.create_application(
         api.Parts(
             store=parts.store,
             operators=operators,
-            find_status=lambda: describe_status(parts, gatekeeper),
-            begin_drain=parts.control.drain_soon,
+            find_status=ask_status,
+            begin_drain=begin_drain,
             render_metrics=parts.metrics.render_metrics,
             max_key_window=parts.settings.key_window,
         )
--- a/whinwinch/http1/server.py
+++ b/whinwinch/http1/server.py
@@ -116,6 +116,17 @@
             self._refuse_input(self._fault or 400)
         self._check_pressure()
 
+    def eof_received(self):
+        """Answer a request that was cut off half way; none of it is handed on.
+
+        Returns:
+            Whether the connection is kept, for that answer only.
+        """
+        if not self._in_head or self._is_closing:
+            return False
+        self._refuse_input(400)
+        return True
+
     def pause_writing(self):
         """Read no more requests while the caller doesn't read its answers."""
         self._writable = False
@@ -230,7 +241,7 @@
     def _refuse_input(self, status):
         """Answer what can't be read, behind the answers still due, and close."""
         slot = Slot(False, False)
-        slot.answer = messages.HttpResponse(status, "Bad Request")
+        slot.answer = self._server.refuse(status)
         self._slots.append(slot)
         self._is_closing = True
         self._in_head = False
@@ -283,6 +294,11 @@
             self._arm()
 
 
+def refuse_plainly(status):
+    """Return the answer to what can't be read, without a body."""
+    return messages.HttpResponse(status, "Bad Request")
+
+
 class Server:
     """A listening address and its connections.
 
@@ -291,12 +307,15 @@
             `messages.HttpResponse`. It is cancelled when the
             caller hangs up.
         limits: `Limits`; may be replaced while it runs.
+        refuse: Function from a status code to the `messages.HttpResponse` for what
+            can't be read as a request.
     """
 
-    def __init__(self, handle, limits):
+    def __init__(self, handle, limits, refuse=refuse_plainly):
         self.loop = asyncio.get_running_loop()
         self.handle = handle
         self.limits = limits
+        self.refuse = refuse
         self.connections = set()
         self.numbers = itertools.count(1)
         self.is_stopping = False
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -200,15 +200,22 @@
         leave()
         self.guard.stop()
         self._publish()
+        until = began + seconds - STOP_RESERVE
+        # What runs at the backend server still makes calls, over new connections
+        # to the address that callers use, too.
+        await self._wait_until(lambda: not self.guard.running, until)
         for server in servers:
             server.end_stop()
-        until = began + seconds - STOP_RESERVE
-        while self._loop.time() < until and not self._is_idle(servers):
-            await asyncio.sleep(STOP_TICK)
+        await self._wait_until(lambda: self._is_idle(servers), until)
         idle = self._is_idle(servers)
         text = "nothing in flight" if idle else "the time allowed is over"
         events.write("stopped", events.Message(text))
 
+    async def _wait_until(self, condition, until):
+        """Wait for a condition, at most until a time of the loop's clock."""
+        while self._loop.time() < until and not condition():
+            await asyncio.sleep(STOP_TICK)
+
     def close(self):
         """Close all connections to other daemons and to the backend server."""
         self.exchange.close()
--- a/whinwinch/operators/access.py
+++ b/whinwinch/operators/access.py
@@ -131,17 +131,16 @@
     return author
 
 
-def check_peer_token(header, text):
+def check_peer_token(token, text):
     """Return whether another daemon's token is known.
 
     Args:
-        header: What the caller sent, ``Bearer TOKEN``.
+        token: What the daemon showed.
         text: The setting, as for `check_peer_setting`.
     """
-    scheme, _, token = (header or "").partition(" ")
     given = token.encode("utf-8", "replace")
     matches = [hmac.compare_digest(known.encode(), given) for known in _split(text)]
-    return scheme.lower() == SCHEME and any(matches)
+    return any(matches)
 
 
 def digest_token(token):
--- a/whinwinch/operators/commands.py
+++ b/whinwinch/operators/commands.py
@@ -8,7 +8,7 @@
 
 from ..errors import Finding, raise_findings
 
-DEFAULT_SERVER = "http://127.0.0.1:7300"
+DEFAULT_SERVER = "http://127.0.0.1:7303"
 SERVER_VARIABLE = "WHINWINCH_SERVER"
 TOKEN_VARIABLE = "WHINWINCH_OPERATOR_TOKEN"
 
--- a/whinwinch/operators/store.py
+++ b/whinwinch/operators/store.py
@@ -1,7 +1,7 @@
 """The accepted resources of a daemon, shared between its threads.
 
 One task follows the log and hands each record to `Store.apply_record`. Threads
-of cherrypy and grpcio read an immutable `View` without a lock, propose changes
+of cherrypy read an immutable `View` without a lock, propose changes
 and wait for news. Whether a change is accepted is decided by the log's order in
 `configuration.Configuration`; nothing here decides it.
 """
--- a/whinwinch/platform/__main__.py
+++ b/whinwinch/platform/__main__.py
@@ -1,11 +1,10 @@
 """Runs the daemon of one instance on the platform."""
 
-import os
 import sys
 
 from absl import logging
 
-from .. import events
+from .. import events, loops
 from ..errors import InputErrors, UserError
 from . import node
 
@@ -16,7 +15,7 @@
     """Run until the process is told to stop; return the exit code."""
     logging.set_verbosity(logging.WARNING)
     events.install(events.Log(STANDARD_OUTPUT))
-    install_loop()
+    loops.install_loop()
     try:
         node.run()
     except InputErrors as errors:
@@ -29,14 +28,5 @@
     return 0
 
 
-def install_loop():
-    """Run all event loops by uvloop, which must not use io_uring."""
-    # Read when the library is loaded, so the import stands behind it.
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    uvloop.install()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -1,5 +1,6 @@
 """Routing of one call: level, endpoint, attempt, and whether to try again."""
 
+import asyncio
 import time
 from typing import NamedTuple
 
@@ -65,8 +66,10 @@
         own: Identifier of the own daemon.
         find_endpoints: Takes a service, returns its endpoints.
         has_room: Returns whether the own backend server has a free slot.
-        serve: Serves an attempt at the own backend server.
-        call: Sends an attempt to another daemon's endpoint.
+        serve: Coroutine function that serves an attempt at the own backend
+            server.
+        call: Coroutine function that sends an attempt to another daemon's
+            endpoint.
     """
 
     own: str
@@ -84,9 +87,9 @@
         places: `Places`.
         find_service: Takes a name, returns its `resources.ServiceSpec`.
         match_call: Takes a spec, method and path, returns its `CallSpec`.
-        placement_state: `placement.Placement`, guarded.
-        levels: `levels.Levels`, guarded.
-        ledger: `retries.Ledger`, guarded.
+        placement_state: `placement.Placement`.
+        levels: `levels.Levels`.
+        ledger: `retries.Ledger`.
         running: `running.Running`.
         random: Function that returns a float from 0 to 1, for back-off.
         key_window: Seconds for which an idempotency key is good at most.
@@ -122,7 +125,7 @@
         self._note = note
         self._notes = notes
 
-    def route_root(self, incoming, budget=None):
+    async def route_root(self, incoming, budget=None):
         """Route a call from outside.
 
         Args:
@@ -151,17 +154,16 @@
             headers=incoming.headers,
             body=incoming.body,
         )
-        with self._ledger as ledger:
-            ledger.open(request.attempt, request.budget, request.deadline)
+        self._ledger.open(request.attempt, request.budget, request.deadline)
         self._notes.root_request(request)
-        routed = self._route_counted(request, incoming, call, request.attempt)
+        routed = await self._route_counted(request, incoming, call, request.attempt)
         source = routed.answer.attempt
         self._notes.delivered(
             request.root, routed.answer, "" if source == request.attempt else source
         )
         return routed
 
-    def route_nested(self, incoming, holder):
+    async def route_nested(self, incoming, holder):
         """Route a call that the request `holder` makes from inside."""
         spec = self._find_service(incoming.service)
         call = self._match_call(spec, incoming.method, incoming.path)
@@ -184,14 +186,17 @@
             headers=incoming.headers,
             body=incoming.body,
         )
-        routed = self._route_counted(request, incoming, call, holder.attempt)
+        routed = await self._route_counted(request, incoming, call, holder.attempt)
         self._running.note_answer(holder.attempt, routed.answer)
         return routed
 
-    def _route_counted(self, request, incoming, call, holder):
+    async def _route_counted(self, request, incoming, call, holder):
         started = self._clock()
-        answer = self._check_and_route(request, incoming, call, holder)
-        unused = self._close_root(request, holder)
+        unused = 0
+        try:
+            answer = await self._check_and_route(request, incoming, call, holder)
+        finally:
+            unused = self._close_root(request, holder)
         caused = max(0, request.budget - unused)
         routed = Routed(answer, request.root, caused, call.name, request.importance)
         self._note(incoming, routed, self._clock() - started)
@@ -201,26 +206,25 @@
         """Return what a root request has left; a nested call holds nothing."""
         if holder != request.attempt:
             return 0
-        with self._ledger as ledger:
-            return ledger.close(holder)
+        return self._ledger.close(holder)
 
-    def _check_and_route(self, request, incoming, call, holder):
+    async def _check_and_route(self, request, incoming, call, holder):
         if len(request.via) >= DEEPEST_PATH:
             return _refuse(request, Reason.TOO_DEEP)
         # A key marks a request as non-idempotent, whatever is declared.
         if call.idempotent and not incoming.key:
-            return self._try_endpoints(request, holder)
+            return await self._try_endpoints(request, holder)
         window = min(call.key_window, self._key_window)
         reason = check_key(incoming.key, time.time(), window)
         if reason is Reason.NONE:
-            return self._try_endpoints(request, holder)
+            return await self._try_endpoints(request, holder)
         if reason is Reason.KEY_MISSING:
             return _refuse(request, reason)
         # The key was good once, and the work may have run then. Told "not
         # run", the caller would make a new key and have it run again.
         return _refuse(request, reason)._replace(outcome=Outcome.UNKNOWN)
 
-    def _try_endpoints(self, request, holder):
+    async def _try_endpoints(self, request, holder):
         """Try until an answer stands; each try is an attempt of its own."""
         tries = 0
         tried = frozenset()
@@ -232,19 +236,21 @@
             if choice.endpoint is None:
                 return self._log_refusal(request, Reason.NO_ENDPOINT, 1.0)
             attempt = self._build_attempt(request, holder)
-            answer = self._send(attempt, choice, tries)
+            answer = await self._send(attempt, choice, tries)
             tries += 1
             tried |= {choice.endpoint.daemon}
-            if not self._tries_again(attempt, answer, holder, tries, choice):
+            decision = self._decide_retry(attempt, answer, holder, tries, choice)
+            if not decision.again:
                 return answer
+            if decision.delay:
+                await asyncio.sleep(decision.delay)
 
     def _refuse_by_level(self, request):
         now = self._clock()
-        with self._levels as levels:
-            decision = levels.refuse(request, now)
-            if decision is None:
-                return None
-            below = levels.level(request.service, request.call, now, request)
+        decision = self._levels.refuse(request, now)
+        if decision is None:
+            return None
+        below = self._levels.level(request.service, request.call, now, request)
         refused = self._log_refusal(request, decision.reason, decision.retry_after)
         return refused._replace(load=messages.Load(below=below))
 
@@ -255,17 +261,15 @@
             is_own = endpoint.daemon == self._places.own
             if is_own and endpoint.daemon not in tried and self._places.has_room():
                 return placement.Choice(endpoint, "own endpoint has room")
-        with self._placement as state:
-            return state.choose(request, endpoints, self._clock(), tried)
+        return self._placement.choose(request, endpoints, self._clock(), tried)
 
     def _build_attempt(self, request, holder):
         """Return the request as an attempt with its part of the budget."""
         attempt = messages.new_identifier()
-        with self._ledger as ledger:
-            granted = ledger.grant(holder, attempt)
+        granted = self._ledger.grant(holder, attempt)
         return request._replace(attempt=attempt, budget=granted)
 
-    def _send(self, attempt, choice, tries):
+    async def _send(self, attempt, choice, tries):
         endpoint = choice.endpoint
         decisions.log_decision(
             decisions.Placed(
@@ -282,35 +286,36 @@
         )
         self._notes.attempt(attempt, tries > 0)
         started = self._clock()
-        with self._placement as state:
-            state.start(endpoint.daemon, started, attempt)
-        answer = self._serve_or_call(attempt, endpoint)
+        self._placement.start(endpoint.daemon, started, attempt)
+        answer = None
+        try:
+            answer = await self._serve_or_call(attempt, endpoint)
+        finally:
+            if answer is None:
+                # Cancelled: says nothing of the endpoint, but it is not out.
+                self._placement.withdraw(endpoint.daemon, attempt.attempt)
         ended = self._clock()
-        with self._placement as state:
-            state.observe(endpoint.daemon, answer, ended - started, ended, attempt)
-        with self._levels as levels:
-            levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
+        self._placement.observe(
+            endpoint.daemon, answer, ended - started, ended, attempt
+        )
+        self._levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
         return answer
 
-    def _serve_or_call(self, attempt, endpoint):
+    async def _serve_or_call(self, attempt, endpoint):
         if endpoint.daemon == self._places.own:
-            return self._places.serve(attempt)
-        return self._places.call(endpoint, attempt)
-
-    def _tries_again(self, attempt, answer, holder, tries, choice):
-        """Settle the budget of an attempt; return whether to try again."""
-        now = self._clock()
-        with self._ledger as ledger:
-            ledger.give_back(attempt.attempt, answer.unused)
-            remaining = ledger.get_remaining(holder)
-            decision = retries.decide_retry(
-                attempt, answer, remaining, tries - 1, now, self._random
-            )
-            again = decision.again and ledger.take(holder)
+            return await self._places.serve(attempt)
+        return await self._places.call(endpoint, attempt)
+
+    def _decide_retry(self, attempt, answer, holder, tries, choice):
+        """Settle the budget of an attempt; return a `retries.RetryDecision`."""
+        self._ledger.give_back(attempt.attempt, answer.unused)
+        remaining = self._ledger.get_remaining(holder)
+        decision = retries.decide_retry(
+            attempt, answer, remaining, tries - 1, self._clock(), self._random
+        )
+        again = decision.again and self._ledger.take(holder)
         self._log_answer(attempt, answer, choice, again, decision.ground)
-        if again and decision.delay:
-            time.sleep(decision.delay)
-        return again
+        return decision._replace(again=again)
 
     def _log_answer(self, attempt, answer, choice, again, ground):
         """Log what was decided after an answer; a whole one asks no decision."""
--- a/whinwinch/running.py
+++ b/whinwinch/running.py
@@ -4,7 +4,6 @@
 (deadline, importance, path) is looked up here.
 """
 
-import threading
 from typing import NamedTuple
 
 from . import messages
@@ -27,37 +26,31 @@
 
 
 class Running:
-    """Attempts inside the own backend server; safe to use from threads."""
+    """Attempts inside the own backend server."""
 
     def __init__(self):
         self._requests = {}
         self._below = {}
-        self._lock = threading.Lock()
 
     def start(self, request):
         """Note that an attempt is handed to the backend server."""
-        with self._lock:
-            self._requests[request.attempt] = request
-            self._below[request.attempt] = Below()
+        self._requests[request.attempt] = request
+        self._below[request.attempt] = Below()
 
     def find(self, attempt):
         """Return the request of an attempt, or None when it isn't inside."""
-        with self._lock:
-            return self._requests.get(attempt)
+        return self._requests.get(attempt)
 
     def note_answer(self, attempt, answer):
         """Note the end of a call that an attempt has made."""
-        with self._lock:
-            below = self._below.get(attempt)
-            if below is None:
-                return
+        below = self._below.get(attempt)
+        if below is not None:
             self._below[attempt] = _merge_below(below, answer)
 
     def finish(self, attempt):
         """Forget an attempt and return what the calls below it have met."""
-        with self._lock:
-            self._requests.pop(attempt, None)
-            return self._below.pop(attempt, Below())
+        self._requests.pop(attempt, None)
+        return self._below.pop(attempt, Below())
 
     def __len__(self):
         return len(self._requests)
--- a/whinwinch/settings.py
+++ b/whinwinch/settings.py
@@ -59,6 +59,7 @@
     address: Address
     backend_address: Address
     peer_address: Address
+    admin_address: Address | None
     advertise: Address | None
     zone: str
     region: str
@@ -67,7 +68,7 @@
     stop_grace: float
     lease: float
     key_window: float
-    threads: int
+    max_requests: int
     max_body: int
     max_header: int
     gossip_interval: float
@@ -156,7 +157,7 @@
         "address",
         parse_address,
         None,
-        "HOST:PORT where callers and operators are served.",
+        "HOST:PORT where callers are served.",
     ),
     Option(
         "backend-address",
@@ -168,6 +169,12 @@
     Option(
         "peer-address", parse_address, None, "HOST:PORT where other daemons are served."
     ),
+    Option(
+        "admin-address",
+        parse_optional_address,
+        "",
+        "HOST:PORT where operators are served; none for no administration here.",
+    ),
     Option(
         "advertise",
         parse_optional_address,
@@ -204,10 +211,11 @@
         "the time for which the log keeps records.",
     ),
     Option(
-        "threads",
-        build_number_parser(int, 4, 2000),
-        "64",
-        "Requests of callers handled at once, and as many outgoing ones.",
+        "max-requests",
+        build_number_parser(int, 1, 100_000),
+        "2000",
+        "Requests of callers handled at once, and as many outgoing ones; more are "
+        "refused at once.",
     ),
     Option(
         "max-body",
--- a/whinwinch/tasks.py
+++ b/whinwinch/tasks.py
@@ -4,9 +4,9 @@
 import contextlib
 import time
 
-import grpc
+from google.protobuf.message import DecodeError
 
-from .daemons import gossip
+from .daemons import gossip, peer_pb2
 from .lifecycle import Phase
 from .logservice import follower, joining, readers, snapshots, streams
 from .logservice.client import LogUnavailable
@@ -20,16 +20,15 @@
 
     async def send(address, message):
         try:
-            return await asyncio.to_thread(
-                parts.peers.gossip, address, message, gossip.THREAD_TIMEOUT
-            )
-        except grpc.RpcError as error:
-            raise gossip.SendError(f"{address}: {error.code()}") from error
+            data = await parts.peers.find(address).ask(message.SerializeToString())
+            return peer_pb2.GossipAnswer.FromString(data)
+        except (ConnectionError, DecodeError) as error:
+            raise gossip.SendError(str(error)) from error
 
     return send
 
 
-async def run_tasks(parts, gatekeeper, talk):
+async def run_tasks(parts, talk, exchange):
     """Run the control tasks until the daemon has stopped."""
     tasks = [
         asyncio.create_task(task)
@@ -37,6 +36,8 @@
             gossip.run_gossip(talk),
             follow_configuration(parts, talk),
             write_snapshots(parts),
+            parts.peers.keep(),
+            exchange.keep(),
             joining.run_joining(*build_stream(parts, streams.MEMBERS), parts.members),
         )
     ]
