Serve requests of one importance by when their root should be answered

Cause: under overload requests of many calls wait at each of them behind first calls of others; what is nearly done comes late.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the connections between daemons, while they break."""
 
 import asyncio
+import math
 import unittest
 import unittest.mock
 
@@ -41,6 +42,7 @@
     path=TEXT,
     importance=st.sampled_from(Importance),
     deadline=st.floats(0, 1000),
+    due=st.floats(0, 1000) | st.just(math.inf),
     key=TEXT,
     budget=st.integers(0, 1000),
     caller=TEXT,
@@ -362,7 +364,9 @@
         unpacker = frames.build_unpacker()
         (call,) = frames.decode_frames(unpacker, data, 5000.0)
         self.assertAlmostEqual(request.deadline + 4900.0, call.request.deadline)
-        self.assertEqual(request, call.request._replace(deadline=request.deadline))
+        self.assertAlmostEqual(request.due + 4900.0, call.request.due)
+        times = {"deadline": request.deadline, "due": request.due}
+        self.assertEqual(request, call.request._replace(**times))
 
     @settings(derandomize=True, max_examples=50, deadline=None)
     @given(ANSWERS)
@@ -378,10 +382,12 @@
             list(frames.decode_frames(frames.build_unpacker(), data, 0.0))
 
     def test_time_left_travels(self):
-        request = Request("a", "r", "s", "c", "GET", "/", Importance.LOW, 12.5)
+        request = Request(
+            "a", "r", "s", "c", "GET", "/", Importance.LOW, 12.5, due=11.0
+        )
         data = frames.encode_frame(frames.Call(1, request), 10.0)
         unpacker = frames.build_unpacker()
         halves = data[:10], data[10:]
         self.assertEqual(list(frames.decode_frames(unpacker, halves[0], 99.0)), [])
         (call,) = frames.decode_frames(unpacker, halves[1], 100.0)
-        self.assertEqual(call.request, request._replace(deadline=102.5))
+        self.assertEqual(call.request, request._replace(deadline=102.5, due=101.0))
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -26,7 +26,7 @@
 
 
 def build(route=SAFE):
-    return dialect.build_request(ASKED, route, "s", "own", 9.0)
+    return dialect.build_request(ASKED, route, "s", "own", 9.0, 8.0)
 
 
 def judge(status, *headers, route=SAFE):
--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -209,6 +209,22 @@
         self.graph.start("2", run("index", 5.0, 1, "browse"), 0.0)
         self.assertEqual(self.graph.begin_call("queue", 21, 0.7, 0.0).importance, 2)
 
+    def test_earliest_time_of_those_that_may_have_made_it(self):
+        """A payout and a reader's request run, and a call comes that either made.
+
+        By the reader's time the payout's call would wait behind all that is due
+        sooner, and the payout fail.
+        """
+        now = 1.0
+        for name, importance, due in (
+            ("overdue", 0, 0.5),
+            ("pay", 3, 1.6),
+            ("r", 0, 4),
+        ):
+            request = run(name, 9.0, importance)._replace(due=due)
+            self.graph.start(name, request, 0.9)
+        self.assertEqual(1.6, self.graph.begin_call("c", OWN, 7.0, now).due)
+
     def test_deadline_corrects_a_guess(self):
         """A payout's first call was taken for browsing's; its next one tells."""
         self.graph.start("b", run("index", 2.0, 1, "browse"), 0.0)
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -55,6 +55,18 @@
         (decision,) = guard.finish("fill0", 0.1, 0.1, True)
         self.assertEqual(decision.attempt, "royalty")
 
+    def test_what_can_still_be_in_time_goes_before_what_is_overdue(self):
+        """Some requests have missed their objective and wait on, under overload.
+
+        First in the line, they would make all others miss theirs too.
+        """
+        guard = gate.Gate(1)
+        fill(guard, 1)
+        guard.offer(make_request("overdue", due=0.5), 1.0)
+        guard.offer(make_request("in-time", due=2.0), 1.0)
+        (decision,) = guard.finish("fill0", 1.1, 0.1, True)
+        self.assertEqual("in-time", decision.attempt)
+
     def test_full_queue_drops_the_least_important(self):
         """More requests come than may wait, the last of them a royalty payout.
 
--- a/test/test_waiting.py
+++ b/test/test_waiting.py
@@ -21,6 +21,20 @@
         self.assertEqual(served, ["b", "d", "a", "c"])
         self.assertIsNone(queue.take_next())
 
+    def test_what_is_due_first_goes_before_what_came_first(self):
+        """A request's last call meets first calls of others, under overload.
+
+        Served behind them it comes too late, and all that was done for it is lost.
+        """
+        queue = waiting.Queue()
+        normal = messages.Importance.NORMAL
+        for name, due in (("new", 9.0), ("old", 3.0), ("also-new", 9.0)):
+            queue.add(make_waiter(name, normal)._replace(due=due))
+        queue.remove("new")
+        queue.add(make_waiter("late", messages.Importance.LOW)._replace(due=1.0))
+        served = [queue.take_next().request.attempt for _ in range(3)]
+        self.assertEqual(served, ["old", "also-new", "late"])
+
     def test_expires_and_removes(self):
         queue = waiting.Queue()
         queue.add(make_waiter("a", messages.Importance.LOW, 1.0))
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -175,7 +175,11 @@
         self._watch.start(
             request.attempt,
             callgraph.Running(
-                request.call, request.root, request.importance, started + told
+                request.call,
+                request.root,
+                request.importance,
+                started + told,
+                request.due,
             ),
             started,
         )
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -71,6 +71,7 @@
     root: str
     importance: int
     deadline: float
+    due: float = math.inf
 
 
 class Run:
@@ -116,10 +117,13 @@
         run: The `Run`.
         importance: Its importance; where others may have made the call too, one
             between theirs.
+        due: Time by which its answer is due; where others may have made the call
+            too, the earliest of theirs that is still to come.
     """
 
     run: Run
     importance: int
+    due: float
 
 
 class Habit:
@@ -378,7 +382,7 @@
         run = min(same, key=lambda run: abs(run.request.deadline - expected))
         run.is_sure = True
         self._note_child(run.request.route, route)
-        return Parent(run, run.importance)
+        return Parent(run, run.importance, run.request.due)
 
     def _guess(self, route, deadline, now):
         """Return a parent that may have made a call, or None.
@@ -403,10 +407,10 @@
         young = [run for run in possible if self._is_young(run, now)]
         if young:
             run = min(young, key=lambda run: (run.made, self._measure_haste(run, now)))
-            return _guess_parent(run, young)
+            return _guess_parent(run, young, now)
         idle = [run for run in possible if not run.out] or possible
         self._turn += 1
-        return _guess_parent(idle[self._turn % len(idle)], idle)
+        return _guess_parent(idle[self._turn % len(idle)], idle, now)
 
     def _is_young(self, run, now):
         """Return whether a run may be about to make its first call.
@@ -463,17 +467,22 @@
     mesh of thirteen, with this 370.
     """
     run.importance = max(run.importance, importance)
-    return Parent(run, run.importance)
+    return Parent(run, run.importance, run.request.due)
 
 
-def _guess_parent(run, possible):
+def _guess_parent(run, possible, now):
     """Return one of the runs that may have made a call as its parent.
 
-    Its importance is between theirs, the higher of two.
+    Its importance is between theirs, the higher of two. It goes by the earliest time
+    of theirs: by that of the guessed one calls of important requests waited behind
+    what is due sooner, and 229 of 1,346 filings failed instead of 172 (8 s of a burst
+    of 1.6 on a mesh of thirteen, one run each).
     """
     importances = [int(other.request.importance) for other in possible]
     middle = math.ceil((min(importances) + max(importances)) / 2.0)
-    return _carry(run, middle)._replace(importance=middle)
+    own = run.request.due
+    due = min((o.request.due for o in possible if o.request.due > now), default=own)
+    return _carry(run, middle)._replace(importance=middle, due=due)
 
 
 def _find_step(deadline):
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -122,6 +122,7 @@
 # place: `_replace` costs as much as the packing.
 _IMPORTANCE = messages.Request._fields.index("importance")
 _DEADLINE = messages.Request._fields.index("deadline")
+_DUE = messages.Request._fields.index("due")
 _OUTCOME = messages.Answer._fields.index("outcome")
 _REASON = messages.Answer._fields.index("reason")
 _LOAD = messages.Answer._fields.index("load")
@@ -139,6 +140,7 @@
     if kind is Call:
         fields = list(frame.request)
         fields[_DEADLINE] -= now
+        fields[_DUE] -= now
         return msgpack.packb((number, frame.number, fields))
     if kind is Reply:
         fields = list(frame.answer)
@@ -183,6 +185,7 @@
         values = list(values)
         values[_IMPORTANCE] = _IMPORTANCES[values[_IMPORTANCE]]
         values[_DEADLINE] += now
+        values[_DUE] += now
         return Call(number, messages.Request(*values))
     if kind is Reply:
         number, values = fields
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -353,7 +353,8 @@
         least = self._durations.hope(fairness.name_kind(request))
         latest = min(request.deadline - least, now + self._longest_wait)
         expires = max(now, latest)
-        lane.queue.add(waiting.Waiter(request, rank, now, expires))
+        due = _find_due(request, now)
+        lane.queue.add(waiting.Waiter(request, rank, now, expires, due))
         return Decision(request.attempt, Verdict.WAIT, expires=expires)
 
     def _displace(self, request, lane, rank, now):
@@ -460,3 +461,12 @@
             excess = max(lane.in_service + ahead - slots, -length / 2.0)
             corrections.append((AIM_SHARE * length - excess) / REACTION_SECONDS)
         return corrections
+
+
+def _find_due(request, now):
+    """Return the time by which a request goes before others of its importance.
+
+    What is overdue already is worth less than what can still be in time, and goes
+    by its deadline.
+    """
+    return request.due if request.due > now else request.deadline
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -260,6 +260,7 @@
         return call._replace(
             importance=messages.Importance(parent.importance),
             root=parent.run.request.root,
+            due=parent.due,
             via=(self.guard.backend.service if self.guard.backend else "",),
         )
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -3,6 +3,7 @@
 import enum
 import hashlib
 import itertools
+import math
 import os
 from typing import NamedTuple
 
@@ -83,6 +84,8 @@
         body: The whole body.
         again: Whether an earlier attempt of the same request was handed to a
             backend server, so that this one draws on the budget of repeats.
+        due: Time of the event loop's clock by which the root request should be
+            answered, its objective; infinite where there is none.
     """
 
     attempt: str
@@ -101,6 +104,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     again: bool = False
+    due: float = math.inf
 
 
 class Load(NamedTuple):
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -75,7 +75,7 @@
     return Arrival(host, http.target.partition("?")[0], seconds)
 
 
-def build_request(http, route, service, caller_service, deadline):
+def build_request(http, route, service, caller_service, deadline, due):
     """Return the `Request` of an `HttpRequest`.
 
     Args:
@@ -84,6 +84,7 @@
         service: The service chosen.
         caller_service: Service of the instance where the request began.
         deadline: Time of the loop's clock.
+        due: When it should be answered, on the same clock.
     """
     headers = drop_headers(http.headers, _OWN_HEADERS)
     return Request(
@@ -98,6 +99,7 @@
         repeatable=route.repeatable,
         headers=(*headers, (CALLER_SERVICE, caller_service)),
         body=http.body,
+        due=due,
     )
 
 
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -179,6 +179,7 @@
             instance.shares.choose(route),
             self._settings.service,
             now + min(arrival.seconds, route.timeout),
+            now + min(route.objective, route.timeout, arrival.seconds),
         )
         answer = await instance.serve(
             request, route, now + arrival.seconds, sender.connection
--- a/whinwinch/waiting.py
+++ b/whinwinch/waiting.py
@@ -5,13 +5,20 @@
 refused although a slot comes free a moment later; with an unbounded one every
 request waits until its caller has given up, and the work is wasted.
 
-Order of service: importance, then time of arrival. Order of dropping: lowest
-importance first, then by the hash that all hops share. Arrival order within
-one importance keeps waits even: strict rank order would leave the lowest to
-wait until their deadlines and be refused late.
+Order of service: importance, then the time by which the root request should be
+answered, then arrival. Requests that make many calls in turn wait at each of them;
+by arrival alone the last call of one, for which all else has been done, waits as long
+as the first of another. With the order by that time 703 instead of 651 of 952 status
+checks and 458 instead of 383 of 2,531 requests of the lowest importance came in time
+(first 8 s of a burst of 1.7 on a mesh of sixteen, one run each; on one of thirteen
+nothing differs by more than chance). Order of dropping: lowest importance first, then
+by the hash that all hops share. Strict rank order within one importance would leave
+the lowest to wait until their deadlines and be refused late.
 """
 
+import bisect
 import collections
+import itertools
 import math
 from typing import NamedTuple
 
@@ -24,20 +31,38 @@
         rank: Its rank, as `messages.rank_request` gives it.
         since: When it began to wait, in seconds of the loop's clock.
         expires: Time by which it must be admitted or refused.
+        due: Time by which it goes before others of its importance.
     """
 
     request: object
     rank: float
     since: float
     expires: float
+    due: float = math.inf
+
+
+class Place(NamedTuple):
+    """Where a waiter stands: the lower, the sooner within its importance.
+
+    Attributes:
+        importance: Its importance.
+        due: When its root request should be answered, in seconds of the loop's
+            clock.
+        number: Ascending with arrival.
+    """
+
+    importance: int
+    due: float
+    number: int
 
 
 class Queue:
-    """Requests that wait, ordered by importance and arrival."""
+    """Requests that wait, ordered by importance, what is due first, and arrival."""
 
     def __init__(self):
-        self._classes = collections.defaultdict(collections.OrderedDict)
+        self._classes = collections.defaultdict(list)
         self._places = {}
+        self._numbers = itertools.count()
         # No waiter expires before this; scanned for each request, a long queue
         # costs more than the decision itself.
         self._earliest = math.inf
@@ -49,25 +74,29 @@
         return attempt in self._places
 
     def add(self, waiter):
-        """Append a waiter to its importance."""
-        importance = int(waiter.request.importance)
-        self._classes[importance][waiter.request.attempt] = waiter
-        self._places[waiter.request.attempt] = importance
+        """Add a waiter to its importance."""
+        request = waiter.request
+        place = Place(int(request.importance), waiter.due, next(self._numbers))
+        self._places[request.attempt] = place
+        bisect.insort(self._classes[place.importance], (place, waiter))
         self._earliest = min(self._earliest, waiter.expires)
 
     def remove(self, attempt):
         """Remove and return the waiter of an attempt, or None."""
-        importance = self._places.pop(attempt, None)
-        if importance is None:
+        place = self._places.pop(attempt, None)
+        if place is None:
             return None
-        return self._classes[importance].pop(attempt)
+        waiters = self._classes[place.importance]
+        _, waiter = waiters.pop(bisect.bisect_left(waiters, (place,)))
+        return waiter
 
     def take_next(self):
         """Remove and return the waiter to be served next, or None."""
         for importance in sorted(self._classes, reverse=True):
             waiters = self._classes[importance]
             if waiters:
-                return self.remove(next(iter(waiters)))
+                _, waiter = waiters[0]
+                return self.remove(waiter.request.attempt)
         return None
 
     def find_next_importance(self):
@@ -84,7 +113,7 @@
         for importance in sorted(self._classes):
             waiters = self._classes[importance]
             if waiters:
-                return min(waiters.values(), key=measure)
+                return min((waiter for _, waiter in waiters), key=measure)
         return None
 
     def count_ahead(self, importance):
@@ -100,7 +129,7 @@
         expired = [
             waiter
             for waiters in self._classes.values()
-            for waiter in waiters.values()
+            for _, waiter in waiters
             if waiter.expires <= now
         ]
         for waiter in expired:
@@ -114,7 +143,7 @@
             (
                 waiter.expires
                 for waiters in self._classes.values()
-                for waiter in waiters.values()
+                for _, waiter in waiters
             ),
             default=None,
         )
