Serve metrics on the platform

The page is the product's own, in Prometheus' text format by its client library, with help texts, at the first port for the daemon's own use. The library is loaded when a page is first asked for (45 ms, 2.3 MB).

--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -122,7 +122,7 @@
 
     def _form_settings(self, instance, service, zone, port):
         """Return settings of a daemon, on ports that are free just now."""
-        ports = find_ports(4)
+        ports = find_ports(5)
         return InstanceSettings(
             instance=instance,
             zone=zone,
@@ -133,6 +133,7 @@
             daemons=Address(LOCAL, ports[1]),
             readiness=Address(LOCAL, ports[2]),
             announcements=Address(LOCAL, ports[3]),
+            metrics=ports[4],
             store=Address(LOCAL, self._store_port),
             repeat_ratio=0.2,
             drain=2.0,
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -55,6 +55,16 @@
             )
         )
 
+    async def fetch(self, member, path):
+        """Return the text of a page at a daemon's metrics port."""
+        given = member.settings
+        pool = client.Pool(given.daemons.host, given.metrics, 1 << 20)
+        request = HttpRequest("GET", path)
+        until = asyncio.get_running_loop().time() + PATIENT
+        answer = await pool.exchange(format_request(request, "h"), until)
+        pool.close()
+        return answer.body.decode()
+
     async def test_every_entry_serves_every_service(self):
         for kind in (PAY, STATUS, BROWSE):
             told = await self.ask(kind, len(self.entries))
@@ -218,6 +228,19 @@
             await self.ask(STATUS, 6)
         self.assertGreater(len(member.backend.runs), 0)
 
+    async def test_metrics_of_each_daemon(self):
+        await self.ask(STATUS, 6)
+        await self.ask(PAY._replace(path="/nothing/"))
+        texts = [await self.fetch(member, "/metrics") for member in self.mesh.members]
+        text = "".join(texts)
+        self.assertIn('whinwinch_calls_total{outcome="completed"', text)
+        self.assertIn('whinwinch_latency_seconds_count{importance="high"', text)
+        self.assertIn("whinwinch_configuration_version 3.0", text)
+        self.assertIn('whinwinch_store_calls_total{outcome="done"}', text)
+        for line in texts[0].splitlines():
+            if line.startswith("# HELP"):
+                self.assertGreater(len(line.split()), 5, line)
+
     async def test_planned_stop_serves_until_callers_are_elsewhere(self):
         """A daemon is restarted beside the only endpoint that is left of a service.
 
--- a/test/platform/test_settings.py
+++ b/test/platform/test_settings.py
@@ -27,6 +27,9 @@
         given = settings.parse_text(TEXT)
         self.assertEqual(given.backend, Address("10.1.0.8", 8301))
         self.assertEqual((given.drain, given.stop_grace), (2.0, 6.0))
+        self.assertEqual(given.metrics, 0)
+        ports = "network.internal_ports=7620,7635\n"
+        self.assertEqual(settings.parse_text(TEXT + ports).metrics, 7620)
 
     def test_all_that_is_wrong_is_reported_at_once(self):
         text = TEXT.replace("ready=10.1.0.8:8302", "ready=nowhere")
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import functools
 from collections.abc import Callable
 from typing import NamedTuple
@@ -87,6 +88,7 @@
         self.backend = None
         self.is_stopping = False
         self.running = 0
+        self.refused = collections.Counter()
 
     def install(self, backend):
         """Guard a backend server from now on, or none.
@@ -235,6 +237,7 @@
         return answer
 
     def _refuse(self, request, reason, retry_after):
+        self.refused[reason] += 1
         decisions.log_refusal(request, reason, retry_after, "gatekeeper")
         answer = _build_not_run(request, reason, retry_after)
         return answer._replace(load=self.load(request))
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -368,6 +368,10 @@
     def __len__(self):
         return len(self._peers)
 
+    def count_up(self):
+        """Return how many other daemons are connected."""
+        return sum(peer.is_up for peer in self._peers.values())
+
     def find(self, address):
         """Return the `Peer` of an address, made at its first use."""
         peer = self._peers.get(address)
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import random
 
 from . import decisions, hints, messages, retries
@@ -37,6 +38,8 @@
         self._guard = guard
         self._placement = placement
         self._board = board
+        self.refused = collections.Counter()
+        self.repeated = collections.Counter()
 
     async def serve(self, request, most_endpoints):
         """Serve a request and return its answer.
@@ -84,6 +87,7 @@
             )
             if not decision.again:
                 return _settle(answer, may_have_run)
+            self.repeated[request.call] += 1
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
@@ -164,6 +168,7 @@
         return answer
 
     def _refuse(self, request, reason, retry_after):
+        self.refused[reason] += 1
         decisions.log_refusal(request, reason, retry_after, "entry")
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
--- /dev/null
+++ b/whinwinch/gauges.py
@@ -0,0 +1,43 @@
+"""What a daemon on the event loop tells of the moment, for its metrics page."""
+
+from .metrics import Gauge, Label
+
+
+def list_gauges(instance, now):
+    """Return the `metrics.Gauge` tuples of an `instance.Instance`.
+
+    Args:
+        instance: The instance.
+        now: Time of the loop's clock.
+    """
+    load = instance.guard.load()
+    gauges = [
+        Gauge("in_service", load.in_service),
+        Gauge("waiting", load.waiting),
+        Gauge("limit", load.limit),
+        Gauge("links", instance.peers.count_up()),
+        Gauge("configuration_version", instance.table.version),
+        Gauge("configuration_age_seconds", instance.find_table_age(now)),
+    ]
+    gauges += [
+        Gauge("level", level, (Label("route", name),))
+        for name, level in instance.list_levels()
+    ]
+    gauges += [
+        Gauge("retries_total", count, build_labels(route=name))
+        for name, count in instance.forwarder.repeated.items()
+    ]
+    for place, refused in (
+        ("entry", instance.forwarder.refused),
+        ("gatekeeper", instance.guard.refused),
+    ):
+        gauges += [
+            Gauge("refusals_total", count, build_labels(at=place, reason=reason.value))
+            for reason, count in refused.items()
+        ]
+    return gauges
+
+
+def build_labels(**values):
+    """Return `metrics.Label` tuples of names and values."""
+    return tuple(Label(name, value) for name, value in values.items())
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -112,6 +112,7 @@
         self.is_stopping = False
         self._is_leaving = False
         self._started = self._loop.time()
+        self._table_since = self._started
         self._routes = {}
         self._service_routes = {}
         self._publish()
@@ -133,6 +134,7 @@
         )
         events.write("configuration", change)
         self.table = table
+        self._table_since = self._loop.time()
         self.shares.keep(table)
         self._routes = {route.name: route for route in table.routes}
         self._service_routes = _group_by_service(table.routes)
@@ -141,6 +143,10 @@
         self._publish()
         return True
 
+    def find_table_age(self, now):
+        """Return the seconds for which the present routes have been in force."""
+        return now - self._table_since
+
     def install_backend(self, backend):
         """Take what the own backend server is from now on, None for none."""
         if backend == self.guard.backend:
@@ -282,13 +288,13 @@
         told = ()
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            levels = tuple(self._list_levels())
+            levels = tuple(self.list_levels())
             if levels or told:
                 self.exchange.tell_all(frames.Levels(levels))
                 self._board.tell(self.place.address, levels, self._loop.time())
             told = levels
 
-    def _list_levels(self):
+    def list_levels(self):
         """Yield pairs of name and level for the routes to the own backend server."""
         for name in self._find_own_routes():
             level = max(self.guard.find_level(name), self._find_below(name))
--- a/whinwinch/metrics.py
+++ b/whinwinch/metrics.py
@@ -16,6 +16,24 @@
 PREFIX = "whinwinch"
 OTHER = "other"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+LATENCY = "latency_seconds"
+# What each series tells, for whoever meets it in a collector.
+HELP = {
+    LATENCY: "Time from arrival to the whole answer of completed calls.",
+    "calls_total": "Ends of calls by outcome and reason.",
+    "retries_total": "Retries that requests which entered here have caused.",
+    "claims_total": "Claims of non-idempotent work by the log's verdict.",
+    "events_total": "Requests that were not routed.",
+    "refusals_total": "Refusals without a run, at the entry or the gatekeeper.",
+    "store_calls_total": "Calls to the platform's store by what is known of them.",
+    "in_service": "Requests inside the backend server.",
+    "waiting": "Requests that wait for a slot of the backend server.",
+    "limit": "Present limit on requests inside the backend server.",
+    "level": "Admission level of a route, 0 for all admitted to 4 for none.",
+    "links": "Other daemons that this one is connected with.",
+    "configuration_version": "Version of the configuration in force.",
+    "configuration_age_seconds": "Time since it came into force here.",
+}
 
 # Microseconds. Below a tenth of a millisecond nothing is decided by latency;
 # beyond a minute callers have long gone. Two digits tell 1.4 ms from 1.41 ms.
@@ -41,7 +59,7 @@
 
 
 class Gauge(NamedTuple):
-    """A value of this moment.
+    """A value of this moment, or a count that is kept elsewhere.
 
     Attributes:
         name: Name of the series without the prefix.
@@ -75,9 +93,13 @@
     Args:
         list_gauges: Function without arguments that returns the `Gauge`s of the
             moment. Called for each rendering only.
+        subject: What calls are told apart by: their service, or their route.
     """
 
-    def __init__(self, list_gauges: Callable[[], list[Gauge]] = list):
+    def __init__(
+        self, list_gauges: Callable[[], list[Gauge]] = list, subject="service"
+    ):
+        self._subject = subject
         self._lock = threading.Lock()
         self._latencies = {}
         self._services = set()
@@ -134,14 +156,14 @@
         """
         self.count(
             "calls_total",
-            Label("service", self._bound_service(service)),
+            Label(self._subject, self._bound_service(service)),
             Label("outcome", outcome.value),
             Label("reason", reason.value),
         )
 
     def count_retry(self, service, step=1):
         """Count retries that calls of a service caused."""
-        label = Label("service", self._bound_service(service))
+        label = Label(self._subject, self._bound_service(service))
         self.count("retries_total", label, step=step)
 
     def count_claim(self, result):
@@ -175,19 +197,39 @@
             self._counters[counter] = self._counters.get(counter, 0) + step
 
     def render_metrics(self):
-        """Return all series as text, one ``name{labels} value`` a line."""
+        """Return all series in the text format of Prometheus."""
+        # Imported late: 45 ms and 2.3 MB that only a daemon which is asked needs.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry).decode()
+
+    def collect(self):
+        """Yield all series by name; the library calls this."""
+        from prometheus_client.core import Metric
+
         with self._lock:
-            counters = sorted(self._counters.items())
-            latencies = sorted(self._latencies.items())
-            lines = [
-                line for key, latency in latencies for line in _render(key, latency)
+            samples = [
+                sample
+                for key, latency in sorted(self._latencies.items())
+                for sample in _list_samples(self._subject, *key, latency)
+            ]
+            samples += [
+                Gauge(name, value, labels)
+                for (name, labels), value in sorted(self._counters.items())
             ]
-        lines += [_format(counter, value) for counter, value in counters]
-        lines += [
-            _format(_Counter(gauge.name, gauge.labels), gauge.value)
-            for gauge in self._list_gauges()
-        ]
-        return "\n".join(lines) + "\n"
+        samples += self._list_gauges()
+        families = {}
+        for sample in samples:
+            name, kind = _find_family(sample.name)
+            if name not in families:
+                text = HELP.get(name, "") or HELP.get(sample.name, "")
+                families[name] = Metric(f"{PREFIX}_{name}", text, kind)
+            families[name].add_sample(
+                f"{PREFIX}_{sample.name}", dict(sample.labels), sample.value
+            )
+        yield from families.values()
 
     def _add_latency(self, service, importance):
         """Return the latencies of a new series; the lock is held."""
@@ -210,31 +252,25 @@
         return service
 
 
-def _render(key, latency):
-    """Yield the lines of one histogram."""
-    service, importance = key
+def _list_samples(subject, service, importance, latency):
+    """Yield the samples of one histogram."""
     labels = (
-        Label("service", service),
+        Label(subject, service),
         Label("importance", Importance(importance).name.lower()),
     )
     for quantile in QUANTILES:
         value = latency.histogram.get_value_at_percentile(quantile * 100)
-        series = _Counter(
-            "latency_seconds", (*labels, Label("quantile", str(quantile)))
-        )
-        yield _format(series, value / MICROSECONDS)
+        quantiles = (*labels, Label("quantile", str(quantile)))
+        yield Gauge(LATENCY, value / MICROSECONDS, quantiles)
     count = latency.histogram.get_total_count()
-    yield _format(_Counter("latency_seconds_sum", labels), round(latency.seconds, 6))
-    yield _format(_Counter("latency_seconds_count", labels), count)
-
-
-def _format(counter, value):
-    labels = ",".join(
-        f'{label.name}="{_escape(label.value)}"' for label in counter.labels
-    )
-    shown = f"{{{labels}}}" if labels else ""
-    return f"{PREFIX}_{counter.name}{shown} {value}"
+    yield Gauge(f"{LATENCY}_sum", round(latency.seconds, 6), labels)
+    yield Gauge(f"{LATENCY}_count", count, labels)
 
 
-def _escape(value):
-    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+def _find_family(name):
+    """Return the name and the kind of the series that a sample belongs to."""
+    if name.startswith(LATENCY):
+        return LATENCY, "summary"
+    if name.endswith("_total"):
+        return name.removesuffix("_total"), "counter"
+    return name, "gauge"
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -9,13 +9,14 @@
 
 from absl import logging
 
-from .. import events, messages
+from .. import events, gauges, messages
 from ..announcements import Announcements, State
 from ..backends.guard import Backend, Dialect
 from ..errors import InputErrors, UserError
 from ..http1.messages import HttpResponse
 from ..http1.server import Limits, Server
 from ..instance import Instance, Place
+from ..metrics import CONTENT_TYPE, Gauge, Metrics
 from . import configuration, dialect, followers, heartbeats, settings
 from .store import Outcome, Record, Store, StoreError
 
@@ -24,6 +25,7 @@
 # Topic in which daemons introduce themselves to those that never met them.
 INSTANCES_TOPIC = "keyed.instances"
 READINESS_PATH = "/whinwinch/ready"
+METRICS_PATH = "/metrics"
 ANNOUNCEMENT_PREFIX = "/whinwinch/instances/"
 # How long a read waits for other daemons' records: they tell most over their
 # connections, so a record may be late.
@@ -83,6 +85,8 @@
         self._callers = Server(self._answer_call, limits)
         self._readiness = Server(self._answer_readiness, limits)
         self._control = Server(self._answer_announcement, limits)
+        self._metrics_page = Server(self._answer_metrics, limits)
+        self._metrics = Metrics(self._list_gauges, "route")
         self._changed = asyncio.Event()
         self._has_read = False
         self._stopping = asyncio.Event()
@@ -104,6 +108,8 @@
         await self.instance.listen(given.daemons)
         await self._control.listen(*given.announcements)
         await self._readiness.listen(*given.readiness)
+        if given.metrics:
+            await self._metrics_page.listen(given.daemons.host, given.metrics)
         await self._callers.listen(*given.callers)
 
     def stop(self):
@@ -112,7 +118,8 @@
 
     def close(self):
         """Drop all connections at once."""
-        for server in (self._callers, self._control, self._readiness):
+        pages = (self._control, self._readiness, self._metrics_page)
+        for server in (self._callers, *pages):
             server.abort()
         self.instance.close()
         self._store.close()
@@ -184,6 +191,10 @@
         answer = await instance.serve(
             request, route, now + arrival.seconds, sender.connection
         )
+        seconds = asyncio.get_running_loop().time() - now
+        self._metrics.note_call(
+            route.name, route.importance, answer.outcome, answer.reason, seconds, 0
+        )
         return dialect.form_answer(answer, request.root)
 
     async def _answer_readiness(self, http, sender):
@@ -192,6 +203,20 @@
             return HttpResponse(404, "Not Found")
         return HttpResponse(200, "OK") if ready else HttpResponse(503, "Not Ready")
 
+    async def _answer_metrics(self, http, sender):
+        if urlsplit(http.target).path != METRICS_PATH:
+            return HttpResponse(404, "Not Found")
+        body = self._metrics.render_metrics().encode()
+        return HttpResponse(200, "OK", (("Content-Type", CONTENT_TYPE),), body)
+
+    def _list_gauges(self):
+        now = asyncio.get_running_loop().time()
+        calls = self._store.calls.items()
+        return gauges.list_gauges(self.instance, now) + [
+            Gauge("store_calls_total", count, gauges.build_labels(outcome=known.value))
+            for known, count in calls
+        ]
+
     async def _answer_announcement(self, http, sender):
         """Take a heartbeat of the own backend server, or its leave."""
         path = urlsplit(http.target).path
--- a/whinwinch/platform/settings.py
+++ b/whinwinch/platform/settings.py
@@ -11,7 +11,7 @@
 
 from ..errors import Finding, UserError, raise_findings
 from ..settings import Address
-from .values import parse_duration, parse_place
+from .values import parse_duration, parse_first_port, parse_place
 
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "WHINWINCH_BOOT"
@@ -30,6 +30,7 @@
         daemons: Where other daemons place theirs.
         readiness: Where the platform asks whether the daemon takes requests.
         announcements: Where the backend server announces itself.
+        metrics: Port of the metrics page, at the address of `daemons`; 0 for none.
         store: Address of the platform's store.
         repeat_ratio: Repeats allowed for each first request of a service.
         drain: Time after which a leaving backend server gets nothing more.
@@ -45,6 +46,7 @@
     daemons: Address
     readiness: Address
     announcements: Address
+    metrics: int
     store: Address
     repeat_ratio: float
     drain: float
@@ -70,6 +72,8 @@
     _Field("network.listen.inbound", "daemons", parse_place),
     _Field("network.listen.ready", "readiness", parse_place),
     _Field("network.listen.control", "announcements", parse_place),
+    # The first port that the platform leaves to the daemon's own use.
+    _Field("network.internal_ports", "metrics", parse_first_port, "0"),
     _Field("platform.platform.address", "store", parse_place),
     _Field("terms.bounds.retry_budget_ratio", "repeat_ratio", float, "0.1"),
     _Field("terms.bounds.drain", "drain", parse_duration, "2s"),
--- a/whinwinch/platform/values.py
+++ b/whinwinch/platform/values.py
@@ -41,3 +41,15 @@
     if not host or not port.isdigit():
         raise ValueError(f"must be IP:PORT, but is {text!r}")
     return Address(host, int(port))
+
+
+def parse_first_port(text):
+    """Return the first of some ports, joined by commas.
+
+    Raises:
+        ValueError: When it isn't of that form.
+    """
+    first = str(text).partition(",")[0]
+    if not first.isdigit():
+        raise ValueError(f"must be ports joined by commas, but is {text!r}")
+    return int(first)
