--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN = .venv/bin
 
-.PHONY: setup test demo emulate bench measure slopes check format protos
+.PHONY: setup test demo emulate report bench measure slopes check format protos
 
 setup: .venv/ready
 
@@ -20,6 +20,11 @@
 emulate: setup
 	$(BIN)/python -m emulator.run
 
+report: setup
+	mkdir -p target
+	$(BIN)/python -m emulator.run --draw target/load.svg
+	$(BIN)/python -m reports.scores target/scores.svg
+
 bench: setup
 	$(BIN)/python -m bench.latency
 
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -29,10 +29,18 @@
 
 
 class Result(NamedTuple):
-    """What came of one request: its flow, its phase, what was told."""
+    """What came of one request.
+
+    Attributes:
+        flow: Name of its flow.
+        phase: Number of its phase.
+        at: When it was asked for, in seconds from the start of the load.
+        told: What its caller was told.
+    """
 
     flow: str
     phase: int
+    at: float
     told: caller.Told
 
 
@@ -77,7 +85,7 @@
     for at, flow, phase in schedule(flows, phases, draw):
         await asyncio.sleep(max(0.0, began + at - loop.time()))
         entry = draw.choice(entries)
-        tasks.append(loop.create_task(_ask(entry, flow, phase)))
+        tasks.append(loop.create_task(_ask(entry, flow, phase, at)))
     return await asyncio.gather(*tasks)
 
 
@@ -96,8 +104,13 @@
     return sorted(due, key=lambda each: each[0])
 
 
-async def _ask(entry, flow, phase):
-    return Result(flow.name, phase, await caller.ask(entry, flow.kind))
+async def _ask(entry, flow, phase, at):
+    return Result(flow.name, phase, at, await caller.ask(entry, flow.kind))
+
+
+def is_refused(told):
+    """Return whether a caller was told in the end that its request has not run."""
+    return not told.whole and told.statuses[-1] in caller.PROMISES
 
 
 def summarize(results, flow, phase=None):
@@ -109,9 +122,7 @@
     ]
     whole = sorted(each.seconds for each in told if each.whole)
     in_time = sum(seconds <= flow.kind.objective for seconds in whole)
-    refused = sum(
-        not each.whole and each.statuses[-1] in caller.PROMISES for each in told
-    )
+    refused = sum(is_refused(each) for each in told)
     count = max(1, len(told))
     failed = len(told) - len(whole) - refused
     return Summary(
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -3,9 +3,11 @@
 import argparse
 import asyncio
 import os
+import pathlib
 import sys
 import time
 
+from reports import loads
 from whinwinch import events
 
 from . import backend, caller, load, mesh, press
@@ -28,6 +30,7 @@
         "--lose", type=float, default=0.0, help="share of runs whose answer is lost"
     )
     parser.add_argument("--log", metavar="FILE", help="for the daemons' log lines")
+    parser.add_argument("--draw", metavar="FILE", help="SVG of what callers got")
     parser.add_argument("--profile", action="store_true", help="where the time goes")
     options = parser.parse_args(arguments)
     if options.profile:
@@ -60,6 +63,9 @@
         used = time.process_time() - used
         elapsed = time.monotonic() - began
         runs = sum(len(member.backend.runs) for member in running.members)
+    if options.draw:
+        drawing = loads.draw_load(results, press.FLOWS, phases)
+        pathlib.Path(options.draw).write_text(drawing, encoding="utf-8")
     for number, phase in enumerate(phases):
         print(f"\nphase {number}: {phase.factor:g} times the usual load")
         print_table(results, number)
--- /dev/null
+++ b/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Drawn reports: a load on the emulated mesh, and scores over time."""
--- /dev/null
+++ b/reports/loads.py
@@ -0,0 +1,89 @@
+"""What callers of the emulated mesh got over time, drawn by kind of request."""
+
+import math
+
+from emulator import load
+
+from . import charts
+
+STEP_SECONDS = 0.5
+# In the order in which they are stacked, the best at the bottom.
+COLORS = {
+    "in time": "seagreen",
+    "late": "gold",
+    "refused": "lightslategrey",
+    "failed": "firebrick",
+}
+QUANTILES = (("median", "steelblue", 0.5), ("99th percentile", "darkorange", 0.99))
+
+
+def draw_load(results, flows, phases):
+    """Return the text of an SVG: two charts for each flow.
+
+    Args:
+        results: `load.Result` tuples.
+        flows: `load.Flow` tuples.
+        phases: `load.Phase` tuples, one after the other.
+    """
+    marks = list_marks(phases)
+    drawn = []
+    for flow in flows:
+        own = [result for result in results if result.flow == flow.name]
+        steps = _split(own, sum(phase.seconds for phase in phases))
+        drawn.append(_chart_outcomes(flow, steps, marks))
+        drawn.append(_chart_latency(flow, steps, marks))
+    return charts.draw_charts(drawn)
+
+
+def list_marks(phases):
+    """Return a `charts.Mark` where each phase begins."""
+    marks, at = [], 0.0
+    for phase in phases:
+        marks.append(charts.Mark(at / STEP_SECONDS, f"{phase.factor:g} x"))
+        at += phase.seconds
+    return tuple(marks)
+
+
+def name_outcome(result, objective):
+    """Return the name of what a request got, one of `COLORS`."""
+    if not result.told.whole:
+        return "refused" if load.is_refused(result.told) else "failed"
+    return "in time" if result.told.seconds <= objective else "late"
+
+
+def _split(results, seconds):
+    """Return the results of each step of time, by when they were asked for."""
+    steps = [[] for _ in range(math.ceil(seconds / STEP_SECONDS))]
+    for result in results:
+        steps[min(int(result.at / STEP_SECONDS), len(steps) - 1)].append(result)
+    return steps
+
+
+def _chart_outcomes(flow, steps, marks):
+    objective = flow.kind.objective
+    named = [[name_outcome(each, objective) for each in step] for step in steps]
+    series = tuple(
+        charts.Series(
+            name, color, tuple(step.count(name) / STEP_SECONDS for step in named)
+        )
+        for name, color in COLORS.items()
+    )
+    title = f"{flow.name}: requests a second, by what their callers got"
+    return charts.Chart(title, series, marks, STEP_SECONDS, is_stacked=True)
+
+
+def _chart_latency(flow, steps, marks):
+    whole = [sorted(r.told.seconds for r in step if r.told.whole) for step in steps]
+    series = tuple(
+        charts.Series(name, color, tuple(_find_milliseconds(whole, share)))
+        for name, color, share in QUANTILES
+    )
+    title = f"{flow.name}: milliseconds to a whole answer, first asking to last"
+    return charts.Chart(title, series, marks, STEP_SECONDS)
+
+
+def _find_milliseconds(steps, share):
+    """Yield a quantile of each step's seconds, 0 where there are none."""
+    for seconds in steps:
+        quantile = load.find_quantile(seconds, share)
+        yield 0.0 if math.isnan(quantile) else 1000 * quantile
