--- a/whinwinch/membership.py
+++ b/whinwinch/membership.py
@@ -22,71 +22,17 @@
 part of a region that was cut off: who is gone without having left is still
 probed now and then.
 
-Grounds for the figures in `Settings` stand with them.
+Grounds for the figures in `memberplan.Settings` stand with them.
 """
 
 import collections
 import math
-from typing import NamedTuple
 
-from . import membertable, messages
+from . import membertable
+from .memberplan import Change, Digests, MemberPage, Probe, ProbeVia, Settings
 from .membertable import Member, State, supersedes
-
-
-class Settings(NamedTuple):
-    """Figures of the membership; times are in seconds, sizes in bytes.
-
-    Attributes:
-        interval: Between two probes. One a second finds a dead member in about
-            the time that callers need to notice by themselves.
-        near_partners: Partners in the own zone.
-        region_partners: Partners in other zones of the region.
-        far_partners: Partners in other regions. Eight partners in all make a
-            random graph that stays connected when half of the members are
-            dead, and five in eight messages stay in the zone.
-        rotation: Between two exchanges of a partner. The chance that nobody
-            probes a member is e^-8; exchange ends that state within minutes.
-        helpers: Members asked to repeat a failed probe.
-        direct_misses: Failed probes in a row before a member is suspected
-            where nobody else is in the region to help.
-        suspicion: Time to contradict a suspicion, for ten members; grows with
-            the logarithm of their number, as the way of a rumour does.
-        tombstone: How long it is remembered that a member is gone. Longer than
-            any rumour is on the way, so that an old one can't bring it back.
-        region_time: How long the members of a region are kept of which nothing
-            is heard. Regions lose each other for minutes.
-        cut_misses: Failed probes of a region without an answer from it before
-            its endpoints are left out.
-        message_bytes: Most bytes of members in one message: one TCP segment.
-        rumour_rate: Bytes of members a second that are sent on average, and
-            `rumour_burst` at once. They keep a restart of a whole zone within
-            the 3 KB/s that control may use.
-        page_rate: Bytes a second of pages given to daemons that have just
-            started, and `page_burst` at once. A page is answered or refused
-            whole, and who is refused asks another.
-        page_members: Members on one page.
-        contacts: Members remembered from the log, to reach the mesh through.
-    """
-
-    interval: float = 1.0
-    near_partners: int = 5
-    region_partners: int = 2
-    far_partners: int = 1
-    rotation: float = 10.0
-    helpers: int = 3
-    direct_misses: int = 3
-    suspicion: float = 5.0
-    tombstone: float = 900.0
-    region_time: float = 3600.0
-    cut_misses: int = 3
-    message_bytes: int = 1200
-    rumour_rate: float = 800.0
-    rumour_burst: float = 24_000.0
-    page_rate: float = 5_000.0
-    page_burst: float = 50_000.0
-    page_members: int = 100
-    contacts: int = 64
-
+from .partners import Partners
+from .rumours import Budget, Rumours, estimate_bytes
 
 # Digests sent along with each probe: all buckets are compared in 32 probes,
 # for 32 bytes a probe.
@@ -102,71 +48,9 @@
 # With more rumours than this waiting, digests aren't answered: about what fits
 # into one message.
 BUSY_RUMOURS = 16
-# How often something is sent again after a peer turned out not to know it.
-CORRECTIONS = 2
-# Members drawn to fill the places of partners: enough for five of a zone that
-# holds a ninth of the members, nine times out of ten.
-DRAWN_MEMBERS = 96
 # A planning call that comes so many intervals late means that this daemon was
 # paused; what it holds against others is worth nothing then.
 PAUSED_INTERVALS = 5
-# Bytes of a member on the wire beyond its strings.
-_MEMBER_OVERHEAD = 22
-
-
-class Change(NamedTuple):
-    """A change of the table that others may want to act on.
-
-    Attributes:
-        member: What is now known.
-        joined: Whether the member was not present before.
-    """
-
-    member: Member
-    joined: bool
-
-
-class Digests(NamedTuple):
-    """Digests of neighbouring buckets, from bucket `first` on."""
-
-    first: int
-    values: tuple[int, ...]
-
-
-class MemberPage(NamedTuple):
-    """A part of the member list for a daemon that has just started.
-
-    Attributes:
-        members: The members of whole buckets.
-        next_bucket: Where the next page starts; unchanged when this daemon has
-            given too many pages lately, and `membertable.BUCKETS` at the end.
-    """
-
-    members: tuple[Member, ...]
-    next_bucket: int
-
-
-class Probe(NamedTuple):
-    """Instruction: send gossip to a daemon and see whether it answers."""
-
-    daemon: str
-    address: str
-    members: tuple[Member, ...]
-    digests: Digests
-
-
-class ProbeVia(NamedTuple):
-    """Instruction: let helpers probe a daemon that didn't answer.
-
-    Attributes:
-        daemon: The daemon in doubt.
-        address: Its address.
-        helpers: Endpoints of the members to ask.
-    """
-
-    daemon: str
-    address: str
-    helpers: tuple[messages.Endpoint, ...]
 
 
 class Membership:
@@ -186,11 +70,10 @@
         self._random = random
         self._own = Member(endpoint)
         self._table = table or membertable.MemberTable()
-        self._rumours = {}
-        self._partners = {}
-        self._probe_order = []
-        self._next_rotation = -math.inf
-        self._far_turn = False
+        figures = self.settings
+        budget = Budget(figures.rumour_rate, figures.rumour_burst)
+        self._rumours = Rumours(self._table, budget, figures.message_bytes)
+        self._partners = Partners(endpoint, self._table, random, figures)
         self._doubts = {}
         self._misses = {}
         self._suspects = {}
@@ -204,12 +87,9 @@
         self._digest_cursor = random.randrange(membertable.BUCKETS)
         self._next_page = 0
         self._last_plan = None
-        self._rumour_budget = _Budget(
-            self.settings.rumour_rate, self.settings.rumour_burst
-        )
-        self._page_budget = _Budget(self.settings.page_rate, self.settings.page_burst)
+        self._page_budget = Budget(figures.page_rate, figures.page_burst)
         self._table.put(self._own)
-        self._rumours[endpoint.daemon] = 0
+        self._rumours.add(endpoint.daemon)
 
     # What others may ask.
 
@@ -398,7 +278,7 @@
         """
         self._forgive_after_pause(now)
         self._expire(now)
-        self._rotate(now)
+        self._partners.rotate(now, self._regions_heard)
         instructions = self._plan_doubts(now)
         target = self._choose_target()
         if target is not None:
@@ -415,8 +295,7 @@
         Returns:
             A tuple of `Probe`.
         """
-        partners = [m.endpoint for m in map(self._table.get, self._partners) if m]
-        chosen = self._random.sample(partners, min(count, len(partners)))
+        chosen = self._partners.sample(count)
         return tuple(self._address(endpoint, now) for endpoint in chosen)
 
     def take_rumours(self, now, about=""):
@@ -430,17 +309,14 @@
         Returns:
             A tuple of `Member`, within the bytes allowed.
         """
-        room = min(self.settings.message_bytes, self._rumour_budget.find_left(now))
-        chosen = []
+        first = []
         addressee = self._table.get(about)
         if about and (addressee is None or addressee.version == 0):
             # Whoever isn't known here hardly knows this daemon either.
-            chosen.append(self._own)
+            first.append(self._own)
         elif addressee and addressee.state in (State.SUSPECT, State.GONE):
-            chosen.append(addressee)
-        self._add_rumours(chosen, room)
-        self._rumour_budget.spend(sum(map(estimate_bytes, chosen)))
-        return tuple(chosen)
+            first.append(addressee)
+        return self._rumours.take(first, now)
 
     def compare(self, digests, now):
         """Return members of buckets in which a peer's digests differ.
@@ -464,12 +340,8 @@
                 found.extend(self._table.find_bucket_members(bucket))
         if not found:
             return ()
-        left = self._rumour_budget.find_left(now)
-        room = min(self.settings.message_bytes, left)
         self._random.shuffle(found)
-        chosen = _cut(found, room)
-        self._rumour_budget.spend(sum(map(estimate_bytes, chosen)))
-        return chosen
+        return self._rumours.cut(found, now)
 
     def give_page(self, bucket, now):
         """Return a page of the member list for a daemon that has just started.
@@ -532,7 +404,7 @@
         elif member.state is State.GONE:
             self._bury(daemon, known, member, now)
         if spread:
-            self._rumours[daemon] = 0
+            self._rumours.add(daemon)
         joined = known is None or known.state is State.GONE
         joined = joined and member.state is not State.GONE
         if joined and spread:
@@ -540,10 +412,9 @@
         return Change(member, joined)
 
     def _correct(self, told, known):
-        """Tell a few daemons again what somebody turned out not to know."""
+        """Have the news told again that somebody turned out not to know."""
         if told.version < known.version:
-            again = max(0, self._find_most_sends() - CORRECTIONS)
-            self._rumours.setdefault(known.endpoint.daemon, again)
+            self._rumours.repeat(known.endpoint.daemon)
 
     def _contradict(self, member):
         """Raise the own version above whatever is held against this daemon.
@@ -561,7 +432,7 @@
     def _change_own(self, endpoint, state, version):
         self._own = Member(endpoint, state, version)
         self._table.put(self._own)
-        self._rumours[endpoint.daemon] = 0
+        self._rumours.add(endpoint.daemon)
 
     def _suspect(self, daemon, now):
         member = self._table.get(daemon)
@@ -574,7 +445,7 @@
         # by others, perhaps because of a cut, and is worth another probe.
         if known is not None and member.version == known.version:
             self._lost.add(daemon)
-        self._partners.pop(daemon, None)
+        self._partners.drop(daemon)
         self._doubts.pop(daemon, None)
         self._misses.pop(daemon, None)
 
@@ -607,10 +478,8 @@
             if member.endpoint.region == region and member.state is not State.GONE
         ]
         other = self._random.choice(others)
-        self._partners.pop(daemon, None)
-        self._partners[other] = None
-        if region not in self.find_cut_regions():
-            self._probe_order.append(other)
+        soon = region not in self.find_cut_regions()
+        self._partners.replace(daemon, other, soon)
 
     def _expire_regions(self, now):
         lost = [
@@ -679,122 +548,19 @@
     def _forget(self, daemon):
         self._table.remove(daemon)
         self._lost.discard(daemon)
-        for held in (
-            self._tombstones,
-            self._suspects,
-            self._rumours,
-            self._partners,
-            self._doubts,
-            self._misses,
-        ):
+        self._rumours.forget(daemon)
+        self._partners.drop(daemon)
+        for held in (self._tombstones, self._suspects, self._doubts, self._misses):
             held.pop(daemon, None)
 
     # Whom to probe.
 
-    def _rotate(self, now):
-        """Exchange one partner now and then, and fill free places."""
-        wanted = min(self._count_places(), len(self._table) - 1)
-        due = now >= self._next_rotation
-        if not due and len(self._partners) >= wanted:
-            return
-        if due:
-            jitter = self._random.uniform(0.5, 1.5)
-            self._next_rotation = now + jitter * self.settings.rotation
-            if self._partners and wanted < len(self._table) - 1:
-                del self._partners[self._choose_leaver()]
-        self._fill_places()
-
-    def _choose_leaver(self):
-        """Choose the partner to exchange, every other time one far away.
-
-        With one partner in another region, exchanged as seldom as the others,
-        a daemon would take minutes to notice that a region is cut off.
-        """
-        self._far_turn = not self._far_turn
-        far = [
-            daemon
-            for daemon in self._partners
-            if self._find_distance(self._table.get(daemon).endpoint) == 2
-        ]
-        return self._random.choice(
-            far if far and self._far_turn else list(self._partners)
-        )
-
-    def _count_places(self):
-        settings = self.settings
-        return settings.near_partners + settings.region_partners + settings.far_partners
-
-    def _fill_places(self):
-        """Fill free places, from a few members or, where they lack, from all.
-
-        A zone of few members in a large mesh is hardly met with among a few.
-        """
-        for candidates in (
-            self._table.draw(self._random, DRAWN_MEMBERS),
-            self._table.members(),
-        ):
-            spare = self._fill_from(candidates)
-            if not any(self._count_free().values()):
-                return
-        missing = max(0, self._count_places() - len(self._partners))
-        for endpoint in spare[:missing]:
-            self._partners[endpoint.daemon] = None
-
-    def _fill_from(self, candidates):
-        """Fill free places; return the endpoints for which there is none."""
-        free = self._count_free()
-        possible = [
-            member.endpoint
-            for member in candidates
-            if member.state is not State.GONE
-            and member.endpoint.daemon not in self._partners
-            and member is not self._own
-        ]
-        self._random.shuffle(possible)
-        # The region that was heard of longest ago comes first.
-        possible.sort(key=lambda e: self._regions_heard.get(e.region, -math.inf))
-        spare = []
-        for endpoint in possible:
-            distance = self._find_distance(endpoint)
-            if free[distance] > 0:
-                free[distance] -= 1
-                self._partners[endpoint.daemon] = None
-            else:
-                spare.append(endpoint)
-        spare.sort(key=self._find_distance)
-        return spare
-
-    def _count_free(self):
-        """Return the free places by distance: own zone, region, elsewhere."""
-        free = {
-            0: self.settings.near_partners,
-            1: self.settings.region_partners,
-            2: self.settings.far_partners,
-        }
-        for daemon in self._partners:
-            distance = self._find_distance(self._table.get(daemon).endpoint)
-            free[distance] = max(0, free[distance] - 1)
-        return free
-
-    def _find_distance(self, endpoint):
-        own = self._own.endpoint
-        if endpoint.region != own.region:
-            return 2
-        return 0 if endpoint.zone == own.zone else 1
-
     def _choose_target(self):
         if self._random.randrange(RECONNECT_PROBES) == 0:
             lost = self._choose_lost()
             if lost is not None:
                 return lost
-        while self._probe_order or self._partners:
-            if not self._probe_order:
-                self._probe_order = list(self._partners)
-                self._random.shuffle(self._probe_order)
-            daemon = self._probe_order.pop()
-            if daemon in self._partners:
-                return self._table.get(daemon).endpoint
-        return self._choose_lost()
+        return self._partners.choose_next() or self._choose_lost()
 
     def _choose_lost(self):
         """Choose who is gone without having left, or was never heard of."""
@@ -808,7 +574,7 @@
         instructions = []
         for daemon in tuple(self._doubts):
             endpoint = self._table.get(daemon).endpoint
-            helpers = self._choose_helpers(daemon)
+            helpers = self._partners.choose_helpers(daemon, self._misses)
             if helpers:
                 del self._doubts[daemon]
                 instructions.append(ProbeVia(daemon, endpoint.address, helpers))
@@ -835,19 +601,6 @@
         ]
         return not others
 
-    def _choose_helpers(self, daemon):
-        region = self._own.endpoint.region
-        possible = [
-            member.endpoint
-            for member in map(self._table.get, self._partners)
-            if member.endpoint.region == region
-            and member.endpoint.daemon != daemon
-            and member.endpoint.daemon not in self._misses
-            and member.state is not State.SUSPECT
-        ]
-        count = min(self.settings.helpers, len(possible))
-        return tuple(self._random.sample(possible, count))
-
     # What to send.
 
     def _address(self, endpoint, now):
@@ -859,65 +612,6 @@
         rumours = self.take_rumours(now, endpoint.daemon)
         return Probe(endpoint.daemon, endpoint.address, rumours, digests)
 
-    def _add_rumours(self, chosen, room):
-        """Add rumours to `chosen`, those least often sent first."""
-        limit = self._find_most_sends()
-        used = sum(map(estimate_bytes, chosen))
-        for daemon in sorted(self._rumours, key=self._rumours.get):
-            member = self._table.get(daemon)
-            size = estimate_bytes(member)
-            if used + size > room:
-                break
-            if member not in chosen:
-                chosen.append(member)
-                used += size
-            self._rumours[daemon] += 1
-            if self._rumours[daemon] >= limit:
-                del self._rumours[daemon]
-
-    def _find_most_sends(self):
-        return math.ceil(math.log2(len(self._table) + 1)) + 1
-
-
-class _Budget:
-    """Bytes that may be spent: a rate, and what may gather for a burst."""
-
-    def __init__(self, rate, burst):
-        self._rate = rate
-        self._burst = burst
-        self._left = burst
-        self._time = None
-
-    def find_left(self, now):
-        if self._time is not None:
-            gained = self._rate * max(0.0, now - self._time)
-            self._left = min(self._burst, self._left + gained)
-        self._time = now
-        return self._left
-
-    def spend(self, amount):
-        self._left -= amount
-
-
-def estimate_bytes(member):
-    """Return about how many bytes a member takes on the wire."""
-    endpoint = member.endpoint
-    size = len(endpoint.daemon) + len(member.state.value) + _MEMBER_OVERHEAD
-    if member.state in (State.SUSPECT, State.GONE):
-        return size
-    strings = endpoint.address, endpoint.service, endpoint.zone, endpoint.region
-    return size + sum(map(len, strings))
-
 
 def _find_due(deadlines, now):
     return [daemon for daemon, deadline in deadlines.items() if deadline <= now]
-
-
-def _cut(members, room):
-    chosen = []
-    for member in members:
-        room -= estimate_bytes(member)
-        if room < 0:
-            break
-        chosen.append(member)
-    return tuple(chosen)
