--- a/test/failures/meshes.py
+++ b/test/failures/meshes.py
@@ -15,7 +15,7 @@
 
 from demo import mesh
 from standins import caller, processes
-from whinwinch import traces
+from whinwinch import tracerecords, traces
 
 # Nothing here is a verdict on speed: a limit only ends a test that hangs.
 GENEROUS = 60.0
@@ -87,7 +87,7 @@
         """Check the daemons' traces of the whole class against the promises."""
         paths = pathlib.Path(directory).glob("daemon-*.log")
         logs = [path.read_text(errors="replace").splitlines() for path in paths]
-        lines = traces.merge_traces(logs)
+        lines = tracerecords.merge_traces(logs)
         findings = traces.check_trace(lines)
         if findings:
             report = [f"{each.place}: {each.problem}" for each in findings[:10]]
--- a/test/test_traces.py
+++ b/test/test_traces.py
@@ -4,8 +4,8 @@
 import pathlib
 import unittest
 
-from whinwinch import traces
-from whinwinch.traces import Fault, Run
+from whinwinch import tracerecords, traces
+from whinwinch.tracerecords import Fault, Run
 
 TRACES = pathlib.Path(__file__).parent / "traces"
 
@@ -66,7 +66,7 @@
             self.assertIn("not the head", self.check(head)[0])
 
     def test_an_empty_trace_proves_nothing(self):
-        self.assertIn("no record", self.check(traces.encode_head())[0])
+        self.assertIn("no record", self.check(tracerecords.encode_head())[0])
 
     def test_wrong_types_and_kinds_are_findings(self):
         lines = [
@@ -77,18 +77,18 @@
             "[" * 100_000,
             "{",
         ]
-        problems = self.check(traces.encode_head(), *lines)
+        problems = self.check(tracerecords.encode_head(), *lines)
         self.assertEqual(len(problems), len(lines))
 
     def test_a_recorder_writes_what_is_read_back(self):
         stream = io.StringIO()
-        record = traces.make_recorder(stream)
+        record = tracerecords.make_recorder(stream)
         entries = [Run("g", "a", "k"), Fault("", "the log is down")]
         for entry in entries:
             record(entry)
         head, *lines = stream.getvalue().splitlines()
-        self.assertEqual(head, traces.encode_head())
-        self.assertEqual([traces.decode_record(line) for line in lines], entries)
+        self.assertEqual(head, tracerecords.encode_head())
+        self.assertEqual([tracerecords.decode_record(line) for line in lines], entries)
 
 
 if __name__ == "__main__":
--- a/whinwinch/assembly.py
+++ b/whinwinch/assembly.py
@@ -21,7 +21,7 @@
     retries,
     router,
     running,
-    traces,
+    tracerecords,
 )
 from .backends.gatekeeper import Gatekeeper
 from .daemons import frames, links
@@ -130,7 +130,7 @@
     """Return the functions that write the trace, if there is to be one."""
     if not settings.trace:
         return recording.NOTHING
-    return recording.build_notes(own, traces.make_recorder(sys.stdout, time.time))
+    return recording.build_notes(own, tracerecords.make_recorder(sys.stdout, time.time))
 
 
 def build_relay(store, notes):
--- a/whinwinch/recording.py
+++ b/whinwinch/recording.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from . import claims, traces
+from . import claims, tracerecords
 from .lifecycle import Phase
 from .messages import Outcome, rank_request
 
@@ -50,15 +50,19 @@
 
     Args:
         daemon: Identifier of this daemon.
-        record: Takes a record, see `traces.make_recorder`.
+        record: Takes a record, see `tracerecords.make_recorder`.
     """
 
     def note_root_request(request):
-        record(traces.RootRequest(daemon, request.root, request.budget, request.caller))
+        record(
+            tracerecords.RootRequest(
+                daemon, request.root, request.budget, request.caller
+            )
+        )
 
     def note_attempt(request, retry):
         record(
-            traces.Attempt(
+            tracerecords.Attempt(
                 daemon,
                 request.root,
                 request.attempt,
@@ -70,7 +74,9 @@
 
     def note_admission(request, admitted):
         record(
-            traces.Admission(daemon, request.attempt, admitted, rank_request(request))
+            tracerecords.Admission(
+                daemon, request.attempt, admitted, rank_request(request)
+            )
         )
 
     def note_run(request, answer):
@@ -78,17 +84,17 @@
         # only then, and an attempt that never left was not run.
         if answer.outcome is Outcome.NOT_RUN:
             return
-        record(traces.Run(daemon, request.attempt, request.key))
+        record(tracerecords.Run(daemon, request.attempt, request.key))
         if answer.outcome is Outcome.COMPLETED:
             record(
-                traces.BackendAnswer(
+                tracerecords.BackendAnswer(
                     daemon, answer.attempt, answer.status, *_measure(answer.body)
                 )
             )
 
     def note_answered(answer):
         record(
-            traces.Answered(
+            tracerecords.Answered(
                 daemon,
                 answer.attempt,
                 answer.outcome.value,
@@ -99,7 +105,7 @@
 
     def note_delivered(root, answer, source):
         record(
-            traces.Delivered(
+            tracerecords.Delivered(
                 daemon, root, answer.outcome.value, source, *_measure(answer.body)
             )
         )
@@ -116,7 +122,7 @@
             record(kind(daemon))
 
     def note_configured(version, content):
-        record(traces.Configured(daemon, version, _measure(content)[1]))
+        record(tracerecords.Configured(daemon, version, _measure(content)[1]))
 
     return Notes(
         note_root_request,
@@ -132,10 +138,13 @@
 
 
 CLAIM_RECORDS = {
-    claims.Claim: traces.ClaimRead,
-    claims.Release: traces.ReleaseRead,
+    claims.Claim: tracerecords.ClaimRead,
+    claims.Release: tracerecords.ReleaseRead,
+}
+PHASE_RECORDS = {
+    Phase.LEAVING: tracerecords.Leaving,
+    Phase.STOPPED: tracerecords.Stopped,
 }
-PHASE_RECORDS = {Phase.LEAVING: traces.Leaving, Phase.STOPPED: traces.Stopped}
 
 
 def _measure(body):
