--- a/whinwinch/attempts.py
+++ b/whinwinch/attempts.py
@@ -3,7 +3,7 @@
 import collections
 
 # A message that is delivered later than this has been dropped by its sender:
-# gRPC ends a call at its deadline, and no deadline of a call is that long.
+# a call ends at its deadline, and no deadline of a call is that long.
 KEEP_SECONDS = 60.0
 
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -75,8 +75,7 @@
         importance: Declared importance.
         deadline: Time of the event loop's clock after which no answer is wanted.
         key: Idempotency key of non-idempotent work, or "" for idempotent work.
-        repeatable: Whether it may be sent again after an unknown outcome. Known
-            to the hop that retries; it isn't sent on.
+        repeatable: Whether it may be sent again after an unknown outcome.
         budget: Retries that this attempt and all below it may cause, at most.
         caller: Name of the caller, for fairness.
         via: Services passed so far, the entry's first.
