--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from typing import NamedTuple
 
 from whinwinch.http1 import client
@@ -27,6 +28,7 @@
         body: Body.
         retries: Times that the caller asks again.
         patient: Whether it waits as it is told to.
+        gives_up: Seconds after which it closes its connection, whatever it said.
     """
 
     host: str
@@ -38,6 +40,7 @@
     body: bytes = b""
     retries: int = 1
     patient: bool = True
+    gives_up: float = math.inf
 
 
 class Told(NamedTuple):
@@ -58,19 +61,38 @@
     retry_after: float
 
 
-async def ask(address, kind):
+class Pools:
+    """Kept connections of callers that don't open one for each request."""
+
+    def __init__(self):
+        self._pools = {}
+
+    def find(self, address):
+        """Return the `client.Pool` of an address."""
+        if address not in self._pools:
+            self._pools[address] = _build_pool(address)
+        return self._pools[address]
+
+    def close(self):
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+
+async def ask(address, kind, pools=None):
     """Ask a daemon, and again as the platform's callers do; return what was told.
 
     Args:
         address: "IP:PORT" of the daemon.
         kind: `Kind`.
+        pools: `Pools` to take connections from; without, each asking has its own.
     """
     loop = asyncio.get_running_loop()
     began = loop.time()
     until = began + kind.deadline
     requests, statuses = [], []
     while True:
-        request, status, answer = await ask_once(address, kind, until)
+        request, status, answer = await ask_once(address, kind, until, pools)
         requests.append(request)
         statuses.append(status)
         whole = status == 200 and answer.body.startswith(request.encode())
@@ -86,8 +108,8 @@
         await asyncio.sleep(min(pause, left / 3) if kind.patient else 0.0)
 
 
-async def ask_once(address, kind, until):
-    """Ask once over a new connection; return id, status and answer."""
+async def ask_once(address, kind, until, pools=None):
+    """Ask once; return id, status and answer."""
     loop = asyncio.get_running_loop()
     request = f"ask-{next(_NUMBERS):x}"
     left = until - loop.time()
@@ -97,12 +119,19 @@
         ("X-Caller-Service", "forged"),
     )
     http = HttpRequest(kind.method, kind.path, headers, kind.body)
-    host, _, port = address.rpartition(":")
-    pool = client.Pool(host, int(port), 1 << 20)
+    pool = pools.find(address) if pools else _build_pool(address)
+    patience = None if math.isinf(kind.gives_up) else kind.gives_up
     try:
-        answer = await pool.exchange(format_request(http, kind.host), until)
+        async with asyncio.timeout(patience):
+            answer = await pool.exchange(format_request(http, kind.host), until)
     except (client.NotSentError, client.BrokenError, TimeoutError):
         return request, 0, None
     finally:
-        pool.close()
+        if pools is None:
+            pool.close()
     return request, answer.status, answer
+
+
+def _build_pool(address):
+    host, _, port = address.rpartition(":")
+    return client.Pool(host, int(port), 1 << 20)
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -71,7 +71,7 @@
         return self.in_time + self.late
 
 
-async def play(entries, flows, phases, seed=0):
+async def play(entries, flows, phases, seed=0, pools=None):
     """Play a load and return its `Result` tuples.
 
     Args:
@@ -79,13 +79,15 @@
         flows: `Flow` tuples.
         phases: `Phase` tuples, one after the other.
         seed: Seed of the draws.
+        pools: `caller.Pools` of callers that keep connections; without, each
+            asking opens one.
     """
     loop, draw = asyncio.get_running_loop(), random.Random(seed)
     tasks, began = [], loop.time()
     for at, flow, phase in schedule(flows, phases, draw):
         await asyncio.sleep(max(0.0, began + at - loop.time()))
         entry = draw.choice(entries)
-        tasks.append(loop.create_task(_ask(entry, flow, phase, at)))
+        tasks.append(loop.create_task(_ask(entry, flow, phase, at, pools)))
     return await asyncio.gather(*tasks)
 
 
@@ -104,8 +106,8 @@
     return sorted(due, key=lambda each: each[0])
 
 
-async def _ask(entry, flow, phase, at):
-    return Result(flow.name, phase, at, await caller.ask(entry, flow.kind))
+async def _ask(entry, flow, phase, at, pools):
+    return Result(flow.name, phase, at, await caller.ask(entry, flow.kind, pools))
 
 
 def is_refused(told):
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -29,6 +29,9 @@
     parser.add_argument(
         "--lose", type=float, default=0.0, help="share of runs whose answer is lost"
     )
+    parser.add_argument(
+        "--kept", action="store_true", help="callers keep their connections"
+    )
     parser.add_argument("--log", metavar="FILE", help="for the daemons' log lines")
     parser.add_argument("--draw", metavar="FILE", help="SVG of what callers got")
     parser.add_argument("--profile", action="store_true", help="where the time goes")
@@ -59,7 +62,8 @@
             member.backend.faults = backend.Faults(lose=options.lose)
         entries = [member.callers for member in running.members]
         began, used = time.monotonic(), time.process_time()
-        results = await load.play(entries, press.FLOWS, phases, options.seed)
+        pools = caller.Pools() if options.kept else None
+        results = await load.play(entries, press.FLOWS, phases, options.seed, pools)
         used = time.process_time() - used
         elapsed = time.monotonic() - began
         runs = sum(len(member.backend.runs) for member in running.members)
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -182,6 +182,20 @@
             self.assertEqual(each.statuses, (504,))
             self.assertLess(each.seconds, PATIENT / 2)
 
+    async def test_callers_that_keep_connections_get_their_own_answers(self):
+        """Many requests take turns on few connections, some are given up on them.
+
+        An answer that came late would be taken for that of the next request.
+        """
+        pools = caller.Pools()
+        self.addCleanup(pools.close)
+        entry = self.entries[0]
+        hasty = BROWSE._replace(gives_up=0.03, retries=0)
+        kinds = [BROWSE, hasty, STATUS] * 6
+        told = await asyncio.gather(*(caller.ask(entry, k, pools) for k in kinds))
+        kept = [t for t, kind in zip(told, kinds, strict=True) if kind is not hasty]
+        self.assertTrue(all(each.whole for each in kept), kept)
+
     async def test_configuration_is_in_force_and_stays(self):
         """Routes come and go; an older version arrives again behind a newer one."""
         kind = caller.Kind("new.example", "/new/1")
