--- a/test/backends/test_gatekeeper.py
+++ b/test/backends/test_gatekeeper.py
@@ -38,6 +38,10 @@
     def __init__(self, answer):
         self.answer = answer
         self.ran = []
+        self.closed = 0
+
+    def close(self):
+        self.closed += 1
 
     async def forward(self, request, left):
         self.ran.append(request.attempt)
@@ -154,6 +158,7 @@
 
     async def test_a_vanished_backend_server_takes_no_work(self):
         self.gatekeeper.install(None)
+        self.assertEqual(1, self.client.closed)
         answer = await self.gatekeeper.serve(build_request())
         self.assertEqual(Reason.NO_ENDPOINT, answer.reason)
 
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -65,6 +65,9 @@
 
     def install(self, announcement):
         """Guard the backend server of an announcement, or none."""
+        if self._client is not None:
+            # Kept connections may lead to one that has gone.
+            self._client.close()
         if announcement is None:
             self._client = None
             self.service = ""
