--- a/test/http1/test_fuzz.py
+++ b/test/http1/test_fuzz.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import unittest
 
 from hypothesis import given, settings
@@ -79,7 +80,7 @@
 def cut(data, places):
     """Return the pieces of data between some places."""
     edges = [0, *sorted(min(place, len(data)) for place in places), len(data)]
-    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    return [data[a:b] for a, b in itertools.pairwise(edges)]
 
 
 class HttpFuzzTest(unittest.TestCase):
