Tell a caller unknown where an earlier attempt may have run

Found by the demo beside a load average of 20: one request of 4,690 was told "not run" and had run. Cause: the router gave the answer to the last attempt. A read whose first attempt was lost and whose second was refused was told the second's "not run", true of that attempt only. The platform's path settled this already; router.py had its own loop. One function in retries now serves both. Ruled out: the callers' identifiers (one for each asking). Tests: lost then refused, lost then no endpoint left; both failed before. The demo's own logs were not kept; that it was this request's course is what the code allows, not seen.

--- a/test/test_router.py
+++ b/test/test_router.py
@@ -162,6 +162,25 @@
         self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
         self.assertEqual(1, len(self.mesh.sent))
 
+    async def test_a_lost_attempt_and_a_refused_one_are_not_told_as_not_run(self):
+        """A connection breaks after a read was sent; the next endpoint is full.
+
+        "Not run" is true of the second attempt only. The caller would take it for
+        its request, of which the first attempt may have run.
+        """
+        routed = await self.route(self.build(lose, refuse(Reason.QUEUE)))
+        self.assertGreater(len(self.mesh.sent), 1)
+        self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
+
+    async def test_no_endpoint_after_a_lost_attempt_is_unknown(self):
+        routing = self.build(lose)
+        endpoints = iter((self.mesh.find_endpoints("catalog"), ()))
+        routing._places = routing._places._replace(
+            find_endpoints=lambda service: next(endpoints)
+        )
+        routed = await self.route(routing)
+        self.assertEqual(Outcome.UNKNOWN, routed.answer.outcome)
+
     async def test_an_undeclared_post_is_not_sent_again_after_unknown(self):
         await self.route(self.build(lose), "POST", "/orders")
         self.assertEqual(1, len(self.mesh.sent))
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -8,7 +8,7 @@
 import collections
 import random
 
-from . import decisions, hints, messages, retries
+from . import decisions, messages, retries
 from .levels import refuse_below
 from .messages import Outcome, Reason, build_failure
 from .placement import Choice
@@ -54,11 +54,11 @@
             # here, all that has been done for it would be lost.
             refused = None if request.via else self._refuse_by_level(request)
             if refused is not None:
-                return _settle(refused, may_have_run)
+                return retries.settle_answer(refused, may_have_run)
             choice = self._choose(request, tried)
             if choice.endpoint is None:
                 absent = self._refuse(request, Reason.NO_ENDPOINT, ABSENT_RETRY_AFTER)
-                return _settle(absent, may_have_run)
+                return retries.settle_answer(absent, may_have_run)
             address = choice.endpoint.address
             tried.add(address)
             attempt = request._replace(
@@ -86,7 +86,7 @@
                 decision.ground,
             )
             if not decision.again:
-                return _settle(answer, may_have_run)
+                return retries.settle_answer(answer, may_have_run)
             self.repeated[request.call] += 1
             if decision.delay:
                 await asyncio.sleep(decision.delay)
@@ -171,23 +171,3 @@
         self.refused[reason] += 1
         decisions.log_refusal(request, reason, retry_after, "entry")
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
-
-
-def _settle(answer, may_have_run):
-    """Return the last answer as it is true of the whole request.
-
-    A first attempt may have been lost and a second one turned down. "Not run" is
-    true of the second; the caller would take it for the request.
-
-    Args:
-        answer: The `Answer` to the last attempt.
-        may_have_run: Whether an attempt ended with an unknown outcome.
-    """
-    if answer.outcome is not Outcome.NOT_RUN:
-        return answer
-    if may_have_run:
-        return answer._replace(outcome=Outcome.UNKNOWN, reason=Reason.BROKEN)
-    if answer.retry_after:
-        return answer
-    pause = hints.choose_retry_after(0.0, answer.attempt)
-    return answer._replace(retry_after=pause)
--- a/whinwinch/retries.py
+++ b/whinwinch/retries.py
@@ -18,6 +18,7 @@
 import heapq
 from typing import NamedTuple
 
+from . import hints
 from .messages import Outcome, Reason, rank_request
 
 # The first back-off: about ten crossings between two availability zones, so a
@@ -163,6 +164,26 @@
     return random() * limit
 
 
+def settle_answer(answer, may_have_run):
+    """Return the last answer as it is true of the whole request.
+
+    A first attempt may have been lost and a second one turned down. "Not run" is
+    true of the second; the caller would take it for the request.
+
+    Args:
+        answer: The `Answer` to the last attempt.
+        may_have_run: Whether an attempt ended with an unknown outcome.
+    """
+    if answer.outcome is not Outcome.NOT_RUN:
+        return answer
+    if may_have_run:
+        return answer._replace(outcome=Outcome.UNKNOWN, reason=Reason.BROKEN)
+    if answer.retry_after:
+        return answer
+    pause = hints.choose_retry_after(0.0, answer.attempt)
+    return answer._replace(retry_after=pause)
+
+
 class Situation(NamedTuple):
     """What is known when a child is to be granted retries.
 
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -226,22 +226,23 @@
 
     async def _try_endpoints(self, request, holder):
         """Try until an answer stands; each try is an attempt of its own."""
-        tries = 0
-        tried = frozenset()
+        tries, tried, may_have_run = 0, frozenset(), False
         while True:
             refused = self._refuse_by_level(request)
             if refused is not None:
-                return refused
+                return retries.settle_answer(refused, may_have_run)
             choice = self._choose(request, tried)
             if choice.endpoint is None:
-                return self._log_refusal(request, Reason.NO_ENDPOINT, 1.0)
+                absent = self._log_refusal(request, Reason.NO_ENDPOINT, 1.0)
+                return retries.settle_answer(absent, may_have_run)
             attempt = self._build_attempt(request, holder)
             answer = await self._send(attempt, choice, tries)
+            may_have_run |= answer.outcome is messages.Outcome.UNKNOWN
             tries += 1
             tried |= {choice.endpoint.daemon}
             decision = self._decide_retry(attempt, answer, holder, tries, choice)
             if not decision.again:
-                return answer
+                return retries.settle_answer(answer, may_have_run)
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
