Serve operators without cherrypy's engine; use a link from its first call on

A demo beside a load average of 26 ended with 2: a daemon had ended with an error at its stop, and its log was not kept. The one way found in the code: the engine ends the process with 70 where a port isn't free a second after its server has stopped.

A link that was unused for 30 s could be closed while a call was waiting for it to be opened again; the time of its last use is now that of the call's begin.

--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -132,11 +132,11 @@
 
     async def call(self, request):
         """Send one attempt and return its answer; never raises for the network."""
+        self._last_used = self._loop.time()
         if not self.is_up:
             left = request.deadline - self._loop.time()
             if not await self._wait_up(min(left, CONNECT_SECONDS)):
                 return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
-        self._last_used = self._loop.time()
         number = next(self._numbers)
         future = self._loop.create_future()
         self._pending[number] = Pending(request, future)
@@ -160,9 +160,9 @@
         Raises:
             ConnectionError: When there is no connection, or it breaks.
         """
+        self._last_used = self._loop.time()
         if not self.is_up and not await self._wait_up(CONNECT_SECONDS):
             raise ConnectionError(f"{self.address}: no connection")
-        self._last_used = self._loop.time()
         number = next(self._numbers)
         future = self._loop.create_future()
         self._asked[number] = future
--- a/whinwinch/operators/server.py
+++ b/whinwinch/operators/server.py
@@ -3,9 +3,10 @@
 Few requests, some of which last for an hour; none of them may hold up a call.
 """
 
+import threading
+
 import cherrypy
 from cheroot import wsgi
-from cherrypy.process import servers
 
 from . import forms, strictness, watch
 
@@ -14,25 +15,36 @@
 # An operator that stops half way through its request is let go after this.
 SOCKET_TIMEOUT = 10.0
 ACCEPT_QUEUE = 64
+# Requests that are still worked on are let go after this; a planned stop isn't
+# held up by an operator.
+STOP_SECONDS = 2.0
 
 
 def start_server(address, application, settings):
     """Start to serve operators; return the function that stops it, and blocks.
 
+    cherrypy's own engine isn't used: it ends the process with an error where a
+    port isn't free a second after its server has stopped, as on a busy machine.
+
     Args:
         address: `settings.Address` to listen on.
         application: WSGI callable of the resource API.
         settings: `settings.Settings` with the limits.
+
+    Raises:
+        OSError: When the address can't be listened on.
     """
-    cherrypy.config.update(
-        {"engine.autoreload.on": False, "log.screen": False, "environment": "embedded"}
-    )
-    cherrypy.server.unsubscribe()
+    cherrypy.config.update({"log.screen": False, "environment": "embedded"})
     server = _build_server(address, application, settings)
-    adapter = servers.ServerAdapter(cherrypy.engine, server, tuple(address))
-    adapter.subscribe()
-    cherrypy.engine.start()
-    return cherrypy.engine.exit
+    server.prepare()
+    serving = threading.Thread(target=server.serve, name="operators", daemon=True)
+    serving.start()
+
+    def stop_server():
+        server.stop()
+        serving.join(STOP_SECONDS)
+
+    return stop_server
 
 
 def _build_server(address, application, settings):
