Let one piece of code serve where two stood

What stood twice since calls share the event loop: the sending of an attempt with what the placement learns from it (router and forwarding, now sending.py), freeing a slot with its service time (guard and gatekeeper, now Slots.leave), work that runs to its end though its caller hangs up (guard, gatekeeper, exchange, now background.py), the emulator's kept pools (backend and caller), what a caller got (load and reports).

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -14,6 +14,8 @@
 )
 from whinwinch.http1.server import Limits, Server
 
+from . import caller
+
 HEARTBEAT_SECONDS = 1.5
 HEARTBEAT_TIMEOUT = 1.0
 
@@ -107,7 +109,7 @@
         self.born = 1_000
         self._free = asyncio.Semaphore(slots)
         self._random = random.Random(seed)
-        self._pools = {}
+        self._pools = caller.Pools()
         self._outbound = ""
         self._control = ""
         self._sequence = 0
@@ -143,7 +145,7 @@
         """Send a message to the daemon; return its status, 0 for none."""
         target = f"/whinwinch/instances/{self.identity}"
         request = HttpRequest(method, target, body=body)
-        pool = self._find_pool(self._control)
+        pool = self._pools.find(self._control)
         until = asyncio.get_running_loop().time() + HEARTBEAT_TIMEOUT
         try:
             answer = await pool.exchange(format_request(request, self._control), until)
@@ -165,14 +167,7 @@
     def close(self):
         """Drop all connections."""
         self.server.abort()
-        for pool in self._pools.values():
-            pool.close()
-
-    def _find_pool(self, address):
-        if address not in self._pools:
-            host, _, port = address.rpartition(":")
-            self._pools[address] = client.Pool(host, int(port), 1 << 20)
-        return self._pools[address]
+        self._pools.close()
 
     async def _answer(self, http, sender):
         if http.target.startswith("/healthz"):
@@ -203,8 +198,8 @@
             self._free.release()
 
     async def _run(self, http, request, deadline):
-        caller = find_header(http.headers, "x-caller-service")
-        self.runs.append(Run(request, http.method, http.target, http.body, caller))
+        calling = find_header(http.headers, "x-caller-service")
+        self.runs.append(Run(request, http.method, http.target, http.body, calling))
         work = self._find_work(http.target)
         seconds = work.seconds * self.faults.slower
         spread = self._random.uniform(1 - work.spread, 1 + work.spread)
@@ -228,7 +223,7 @@
             ("X-Deadline-Ms", str(max(1, int(left * 1000)))),
         )
         request = HttpRequest("GET", call.path, headers)
-        pool = self._find_pool(self._outbound)
+        pool = self._pools.find(self._outbound)
         try:
             data = format_request(request, call.host)
             answer = await pool.exchange(data, deadline)
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -7,6 +7,9 @@
 
 from . import caller
 
+# What a caller got, the best first; "refused" is what surely has not run.
+OUTCOMES = IN_TIME, LATE, REFUSED, FAILED = "in time", "late", "refused", "failed"
+
 
 class Phase(NamedTuple):
     """A part of a load.
@@ -110,9 +113,16 @@
     return Result(flow.name, phase, at, await caller.ask(entry, flow.kind, pools))
 
 
-def is_refused(told):
-    """Return whether a caller was told in the end that its request has not run."""
-    return not told.whole and told.statuses[-1] in caller.PROMISES
+def name_outcome(told, objective):
+    """Return what a caller got, one of `OUTCOMES`.
+
+    Args:
+        told: The `caller.Told`.
+        objective: Seconds within which an answer is worth all.
+    """
+    if told.whole:
+        return IN_TIME if told.seconds <= objective else LATE
+    return REFUSED if told.statuses[-1] in caller.PROMISES else FAILED
 
 
 def summarize(results, flow, phase=None):
@@ -123,16 +133,11 @@
         if result.flow == flow.name and phase in (None, result.phase)
     ]
     whole = sorted(each.seconds for each in told if each.whole)
-    in_time = sum(seconds <= flow.kind.objective for seconds in whole)
-    refused = sum(is_refused(each) for each in told)
+    named = [name_outcome(each, flow.kind.objective) for each in told]
     count = max(1, len(told))
-    failed = len(told) - len(whole) - refused
     return Summary(
         len(told),
-        in_time / count,
-        (len(whole) - in_time) / count,
-        refused / count,
-        failed / count,
+        *(named.count(name) / count for name in OUTCOMES),
         find_quantile(whole, 0.5),
         find_quantile(whole, 0.99),
     )
--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -122,7 +122,7 @@
 
     def _form_settings(self, instance, service, zone, port):
         """Return settings of a daemon, on ports that are free just now."""
-        ports = find_ports(5)
+        ports = processes.find_ports(5)
         return InstanceSettings(
             instance=instance,
             zone=zone,
@@ -185,8 +185,3 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.append(task)
         return task
-
-
-def find_ports(count):
-    """Return free ports of the loopback address, all different."""
-    return processes.find_ports(count)
--- a/reports/loads.py
+++ b/reports/loads.py
@@ -9,10 +9,10 @@
 STEP_SECONDS = 0.5
 # In the order in which they are stacked, the best at the bottom.
 COLORS = {
-    "in time": "seagreen",
-    "late": "gold",
-    "refused": "lightslategrey",
-    "failed": "firebrick",
+    load.IN_TIME: "seagreen",
+    load.LATE: "gold",
+    load.REFUSED: "lightslategrey",
+    load.FAILED: "firebrick",
 }
 QUANTILES = (("median", "steelblue", 0.5), ("99th percentile", "darkorange", 0.99))
 
@@ -44,13 +44,6 @@
     return tuple(marks)
 
 
-def name_outcome(result, objective):
-    """Return the name of what a request got, one of `COLORS`."""
-    if not result.told.whole:
-        return "refused" if load.is_refused(result.told) else "failed"
-    return "in time" if result.told.seconds <= objective else "late"
-
-
 def _split(results, seconds):
     """Return the results of each step of time, by when they were asked for."""
     steps = [[] for _ in range(math.ceil(seconds / STEP_SECONDS))]
@@ -61,7 +54,7 @@
 
 def _chart_outcomes(flow, steps, marks):
     objective = flow.kind.objective
-    named = [[name_outcome(each, objective) for each in step] for step in steps]
+    named = [[load.name_outcome(r.told, objective) for r in step] for step in steps]
     series = tuple(
         charts.Series(
             name, color, tuple(step.count(name) / STEP_SECONDS for step in named)
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -33,6 +33,13 @@
             *(caller.ask(entries[n % len(entries)], kind) for n in range(count))
         )
 
+    async def ask_and_stop(self, member):
+        """Ask for payouts and stop a daemon once its backend server works on one."""
+        asking = asyncio.create_task(self.ask(PAY, 4))
+        await self.mesh.wait_until(lambda: member.backend.runs)
+        member.node.stop()
+        return await asking
+
     def list_runs(self, service):
         return [
             run for member in self.mesh.find(service) for run in member.backend.runs
@@ -273,10 +280,7 @@
     async def test_planned_stop_answers_what_is_in_flight(self):
         """A daemon is told to stop while it works in both directions."""
         member = self.mesh.find("front")[0]
-        asking = asyncio.create_task(self.ask(PAY, 4))
-        await self.mesh.wait_until(lambda: member.backend.runs)
-        member.node.stop()
-        told = await asking
+        told = await self.ask_and_stop(member)
         self.assertTrue(all(each.whole for each in told), told)
         self.assertEqual(await self.probe(member), 503)
 
@@ -287,11 +291,7 @@
         before, each request inside fails at every restart.
         """
         self.set_faults("front", slower=22.0)
-        member = self.mesh.find("front")[0]
-        asking = asyncio.create_task(self.ask(PAY, 4))
-        await self.mesh.wait_until(lambda: member.backend.runs)
-        member.node.stop()
-        told = await asking
+        told = await self.ask_and_stop(self.mesh.find("front")[0])
         self.assertTrue(all(each.whole for each in told), told)
 
     async def test_all_daemons_are_killed_at_once(self):
--- a/test/reports/test_charts.py
+++ b/test/reports/test_charts.py
@@ -46,7 +46,7 @@
             caller.Told(("4",), (500,), 0.1, False, 0.0),
         )
         results = [load.Result(flow.name, 0, 0.1, each) for each in told]
-        names = [loads.name_outcome(each, flow.kind.objective) for each in results]
+        names = [load.name_outcome(each, flow.kind.objective) for each in told]
         self.assertEqual(names, list(loads.COLORS))
         phases = (load.Phase(1.0), load.Phase(1.0, 4.0))
         root = read(loads.draw_load(results, (flow,), phases))
--- a/whinwinch/backends/gatekeeper.py
+++ b/whinwinch/backends/gatekeeper.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .. import attempts, claims, decisions, gate, messages, recording
+from .. import attempts, background, claims, decisions, gate, messages, recording
 from ..messages import Answer, Outcome, Reason
 from . import slots
 from .client import BackendClient
@@ -60,7 +60,7 @@
         self._client = None
         self._attempts = attempts.Attempts()
         self._claiming = 0
-        self._detached = set()
+        self._background = background.Background()
         self.service = ""
 
     def install(self, announcement):
@@ -150,18 +150,15 @@
         """
         if not request.key:
             return await self._serve_admitted(request)
-        task = asyncio.get_running_loop().create_task(self._serve_admitted(request))
-        self._detached.add(task)
-        task.add_done_callback(self._detached.discard)
-        return await asyncio.shield(task)
+        return await self._background.run_to_end(self._serve_admitted(request))
 
     async def _serve_admitted(self, request):
-        started = self._clock()
+        started = asyncio.get_running_loop().time()
         answer = None
         try:
             answer = await self._claim_and_run(request)
         finally:
-            self._leave(request, answer, started)
+            self._slots.leave(request, answer, started)
             if answer is None:
                 # Its caller has hung up: the attempt ends, nobody knows how.
                 self._notes.answered(
@@ -172,12 +169,6 @@
         self._notes.answered(answer)
         return answer
 
-    def _leave(self, request, answer, started):
-        ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
-        succeeded = answer is not None and answer.succeeded
-        seconds = self._clock() - started if ran else None
-        self._slots.leave(request, seconds, succeeded)
-
     async def _claim_and_run(self, request):
         if not request.key:
             return await self._run(request)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from .. import callgraph, decisions, gate, repeats
+from .. import background, callgraph, decisions, gate, repeats
 from ..http1 import client
 from ..messages import Outcome, Reason, build_failure
 from . import slots
@@ -84,7 +84,7 @@
         self._find_wait = find_wait
         self._watch = watch
         self._slots = slots.Slots(NO_SHARES)
-        self._detached = set()
+        self._background = background.Background()
         self.backend = None
         self.is_stopping = False
         self.running = 0
@@ -164,10 +164,7 @@
         """
         if request.repeatable:
             return await self._run(request)
-        task = self._loop.create_task(self._run(request))
-        self._detached.add(task)
-        task.add_done_callback(self._detached.discard)
-        return await asyncio.shield(task)
+        return await self._background.run_to_end(self._run(request))
 
     async def _run(self, request):
         started = self._loop.time()
@@ -193,15 +190,9 @@
             answered = answer is not None and answer.outcome is not Outcome.UNKNOWN
             whole = answer is not None and answer.succeeded
             self._watch.end(request.attempt, answered, whole)
-            self._leave(request, answer, started, whole)
+            self._slots.leave(request, answer, started)
         return answer._replace(load=self.load(request))
 
-    def _leave(self, request, answer, started, whole):
-        """Free the slot, and count the service time where it tells something."""
-        ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
-        taken = self._loop.time() - started if ran else None
-        self._slots.leave(request, taken, whole)
-
     async def _forward(self, request):
         """Hand the attempt to the backend server; never raises for the network."""
         backend = self.backend
--- a/whinwinch/backends/slots.py
+++ b/whinwinch/backends/slots.py
@@ -10,7 +10,7 @@
 import asyncio
 
 from .. import fairness, gate, messages
-from ..messages import Reason
+from ..messages import Outcome, Reason
 
 
 class Slots:
@@ -81,15 +81,18 @@
             return decision
         return await self._wait(request, future, decision.expires)
 
-    def leave(self, request, seconds, succeeded):
-        """Free the slot of an admitted attempt.
+    def leave(self, request, answer, started):
+        """Free a slot, and count the service time where it tells something.
 
         Args:
-            request: The `messages.Request`.
-            seconds: Time that it was inside, None where that tells nothing.
-            succeeded: Whether it was answered as it should be.
+            request: The `messages.Request` that was admitted.
+            answer: Its `messages.Answer`, None where nobody waited for one.
+            started: When it went in, on the loop's clock.
         """
         now = self._loop.time()
+        ran = answer is not None and answer.outcome is not Outcome.NOT_RUN
+        seconds = now - started if ran else None
+        succeeded = ran and answer.succeeded
         self._deliver(self._gate.finish(request.attempt, now, seconds, succeeded))
 
     def refuse_waiting(self):
@@ -124,7 +127,7 @@
         if future.cancelled():
             self._withdraw(request)
         elif future.result().verdict is gate.Verdict.ADMIT:
-            self.leave(request, None, False)
+            self.leave(request, None, self._loop.time())
 
     def _withdraw(self, request):
         self._deliver(self._gate.withdraw(request.attempt, self._loop.time()))
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 
+from .. import background
 from . import frames
 
 # The caller gives up its open calls 0.8 s after it lost a connection, and may
@@ -124,7 +125,7 @@
         self._refuse = refuse
         self._answer_gossip = answer_gossip
         self._admits = admits
-        self._answering = set()
+        self._background = background.Background()
         self._callers = {}
         self._listener = None
         self._kept = 0
@@ -198,9 +199,7 @@
         """
         if self._answer_gossip is None:
             raise frames.FrameError("gossip is not spoken here")
-        task = self._loop.create_task(self._gossip(session, message))
-        self._answering.add(task)
-        task.add_done_callback(self._answering.discard)
+        self._background.start(self._gossip(session, message))
 
     async def keep(self):
         """Forget old answers and callers that are gone, for ever."""
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -8,7 +8,7 @@
 import collections
 import random
 
-from . import decisions, messages, retries
+from . import decisions, messages, retries, sending
 from .levels import refuse_below
 from .messages import Outcome, Reason, build_failure
 from .placement import Choice
@@ -148,24 +148,18 @@
         return answer._replace(load=messages.Load(below=level))
 
     async def _send(self, attempt, choice):
-        endpoint = choice.endpoint
-        started = self._loop.time()
-        self._placement.start(endpoint.daemon, started, attempt)
-        answer = None
-        try:
-            if endpoint.address == self._own:
-                answer = await self._guard.serve(attempt)
-            else:
-                answer = await self._peers.find(endpoint.address).call(attempt)
-        finally:
-            ended = self._loop.time()
-            if answer is None:
-                # Cancelled: says nothing of the endpoint, but it is not out.
-                self._placement.withdraw(endpoint.daemon, attempt.attempt)
-        self._placement.observe(
-            endpoint.daemon, answer, ended - started, ended, attempt
+        return await sending.send_watched(
+            self._placement,
+            choice.endpoint,
+            attempt,
+            self._loop.time,
+            self._serve_or_call,
         )
-        return answer
+
+    async def _serve_or_call(self, endpoint, attempt):
+        if endpoint.address == self._own:
+            return await self._guard.serve(attempt)
+        return await self._peers.find(endpoint.address).call(attempt)
 
     def _refuse(self, request, reason, retry_after):
         self.refused[reason] += 1
--- a/whinwinch/platform/followers.py
+++ b/whinwinch/platform/followers.py
@@ -12,8 +12,6 @@
 # hundreds of daemons don't come back together when the store does.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
-# A store that turns callers away because of their number gets fewer calls.
-BUSY_PAUSE = 0.3
 # A connection may fall silent for good. A read is given up 0.8 s after this, so three
 # seconds after it began, the time that is granted after an outage. At 1.5 s a daemon
 # made half as many calls again.
--- a/whinwinch/router.py
+++ b/whinwinch/router.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from . import claims, decisions, messages, placement, recording, retries
+from . import claims, decisions, messages, placement, recording, retries, sending
 from .messages import Answer, Outcome, Reason, Request
 
 # Chains are up to 16 deep. A request that has passed twice as many services
@@ -192,7 +192,6 @@
 
     async def _route_counted(self, request, incoming, call, holder):
         started = self._clock()
-        unused = 0
         try:
             answer = await self._check_and_route(request, incoming, call, holder)
         finally:
@@ -286,23 +285,15 @@
             )
         )
         self._notes.attempt(attempt, tries > 0)
-        started = self._clock()
-        self._placement.start(endpoint.daemon, started, attempt)
-        answer = None
-        try:
-            answer = await self._serve_or_call(attempt, endpoint)
-        finally:
-            if answer is None:
-                # Cancelled: says nothing of the endpoint, but it is not out.
-                self._placement.withdraw(endpoint.daemon, attempt.attempt)
-        ended = self._clock()
-        self._placement.observe(
-            endpoint.daemon, answer, ended - started, ended, attempt
+        answer = await sending.send_watched(
+            self._placement, endpoint, attempt, self._clock, self._serve_or_call
+        )
+        self._levels.learn(
+            attempt.service, attempt.call, answer.load, self._clock(), attempt
         )
-        self._levels.learn(attempt.service, attempt.call, answer.load, ended, attempt)
         return answer
 
-    async def _serve_or_call(self, attempt, endpoint):
+    async def _serve_or_call(self, endpoint, attempt):
         if endpoint.daemon == self._places.own:
             return await self._places.serve(attempt)
         return await self._places.call(endpoint, attempt)
