Read the store by one daemon a zone; the others hear from it

Change: one daemon of each availability zone, the first by a hash of its address among those in reach, reads a topic to its end and tells those connected where that is; who is behind asks for the records. A copy that nobody has confirmed for 1.3 s (records of instances: 6.5 s) is read by whoever holds it, so a reader that dies, hangs, or is turned away is made up for within the 2 s of the configuration. Copies move forward only.

Ruled out: pushing the records to all (the bytes between zones cost more than the calls); an election or a lease (reading is safe for anyone).

--- a/test/platform/test_followers.py
+++ b/test/platform/test_followers.py
@@ -4,8 +4,10 @@
 import unittest
 
 from whinwinch import events
+from whinwinch.logservice import keyed
+from whinwinch.logservice.keyed import Record
 from whinwinch.platform import followers
-from whinwinch.platform.store import Outcome, Page, Record, StoreError
+from whinwinch.platform.store import Outcome, Page, StoreError
 
 
 class Kept:
@@ -51,8 +53,15 @@
         self.store = FailingStore(*answers)
         events.install(self.kept)
         self.addCleanup(events.install, events.Silence())
+        following = keyed.Following(keyed.Copy(self.taken.extend), 1.0)
         task = asyncio.create_task(
-            followers.follow_topic(self.store, "keyed.op", self.taken.extend)
+            followers.follow_topic(
+                self.store,
+                "keyed.op",
+                following,
+                lambda: True,
+                lambda topic, now: following.note_read(now),
+            )
         )
         async with asyncio.timeout(5.0):
             while len(self.store.reads) <= len(answers):
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -5,6 +5,7 @@
 import unittest.mock
 
 from emulator import store as standin
+from whinwinch.logservice import keyed
 from whinwinch.platform import followers, store
 from whinwinch.settings import Address
 
@@ -43,7 +44,7 @@
             self.standin.put(TOPIC, f"k{number % 700}", b"%d" % number)
         page = await self.store.read_newest(TOPIC)
         self.assertEqual(len(page.records), 700)
-        self.assertIn(store.Record("k5", b"705"), page.records)
+        self.assertIn(store.Record("k5", b"705", 705), page.records)
         self.assertEqual(page.end, 2 * standin.PAGE_ITEMS)
 
     async def test_append_and_long_read(self):
@@ -88,19 +89,23 @@
         self.standin.find(TOPIC).records.extend([b"", b"\x09k", b"\x01\xff1"])
         self.standin.put(TOPIC, "k", b"v")
         page = await self.store.read_on(TOPIC, 0, 0.0)
-        self.assertEqual(page, store.Page((store.Record("k", b"v"),), 4, 3))
+        self.assertEqual(page, store.Page((store.Record("k", b"v", 3),), 4, 3))
 
 
 class FollowerTest(Harness):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.taken = []
-        self.all = []
 
     async def follow(self):
         task = asyncio.create_task(
             followers.follow_topic(
-                self.store, TOPIC, self.taken.extend, self.all.extend, 0.2
+                self.store,
+                TOPIC,
+                keyed.Following(keyed.Copy(self.taken.extend), 1.0),
+                lambda: True,
+                lambda topic, now: None,
+                0.2,
             )
         )
         self.addCleanup(task.cancel)
@@ -108,7 +113,7 @@
 
     async def wait_for(self, value):
         async with asyncio.timeout(10):
-            while not any(r.value == value for r in (*self.taken, *self.all)):
+            while not any(r.value == value for r in self.taken):
                 await asyncio.sleep(0.005)
 
     async def test_changes_arrive_through_every_fault(self):
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -101,6 +101,8 @@
             self._exchange.cancel(self._caller, frame.number)
         elif isinstance(frame, frames.Gossip):
             self._exchange.take_gossip(self, frame)
+        elif isinstance(frame, frames.TOPIC_KINDS):
+            self._exchange.take_topic(self.send, frame)
 
 
 class Exchange:
@@ -115,16 +117,25 @@
             those of its answer, None where there is no gossip.
         admits: Function from the token that a daemon shows to whether it is
             let in.
+        take_topic: Function that is told one of `frames.TOPIC_KINDS`, and before it
+            a function that sends a frame back.
     """
 
     def __init__(
-        self, hello, serve, refuse, answer_gossip=None, admits=lambda token: True
+        self,
+        hello,
+        serve,
+        refuse,
+        answer_gossip=None,
+        admits=lambda token: True,
+        take_topic=lambda reply, frame: None,
     ):
         self._loop = asyncio.get_running_loop()
         self._serve = serve
         self._refuse = refuse
         self._answer_gossip = answer_gossip
         self._admits = admits
+        self.take_topic = take_topic
         self._background = background.Background()
         self._callers = {}
         self._listener = None
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -11,6 +11,7 @@
 import msgpack
 
 from .. import messages
+from ..logservice import keyed
 
 # A request and its body, an answer and its body.
 LARGEST_FRAME = 64 << 20
@@ -110,7 +111,57 @@
     data: bytes
 
 
-KINDS = (Hello, Call, Reply, Cancel, Ping, Pong, News, Levels, Gossip, GossipReply)
+class TopicEnd(NamedTuple):
+    """The end of a topic of the log, as the sender has just read it.
+
+    Attributes:
+        topic: Name of the topic.
+        end: Offset behind its last record.
+    """
+
+    topic: str
+    end: int
+
+
+class TopicAsk(NamedTuple):
+    """Asks for the records of a topic from an offset on."""
+
+    topic: str
+    start: int
+
+
+class TopicRecords(NamedTuple):
+    """Records of a topic, the newest of each key from an offset on.
+
+    Attributes:
+        topic: Name of the topic.
+        start: Offset that was asked for.
+        end: Offset behind the last record that the sender knows.
+        records: `keyed.Record` tuples.
+    """
+
+    topic: str
+    start: int
+    end: int
+    records: tuple[keyed.Record, ...]
+
+
+KINDS = (
+    Hello,
+    Call,
+    Reply,
+    Cancel,
+    Ping,
+    Pong,
+    News,
+    Levels,
+    Gossip,
+    GossipReply,
+    TopicEnd,
+    TopicAsk,
+    TopicRecords,
+)
+TOPIC_KINDS = (TopicEnd, TopicAsk, TopicRecords)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 _REASONS = tuple(messages.Reason)
 _REASON_NUMBERS = {reason: number for number, reason in enumerate(_REASONS)}
@@ -197,4 +248,33 @@
     if kind is News:
         endpoint, version, entries = fields
         return News(messages.Endpoint(*endpoint), version, entries)
+    if kind in (TopicEnd, TopicAsk):
+        topic, offset = fields
+        return kind(_check_text(topic), _check_offset(offset))
+    if kind is TopicRecords:
+        topic, start, end, records = fields
+        return TopicRecords(
+            _check_text(topic),
+            _check_offset(start),
+            _check_offset(end),
+            tuple(_decode_record(*record) for record in records),
+        )
     return kind(*fields)
+
+
+def _decode_record(key, value, offset):
+    if type(value) is not bytes:
+        raise ValueError("the value of a record must be bytes")
+    return keyed.Record(_check_text(key), value, _check_offset(offset))
+
+
+def _check_text(text):
+    if type(text) is not str:
+        raise ValueError("must be a text")
+    return text
+
+
+def _check_offset(offset):
+    if type(offset) is not int or offset < 0:
+        raise ValueError("an offset must be a whole number")
+    return offset
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -45,6 +45,8 @@
 MOST_SHORT_LIVES = 8
 # The called side answers by the deadline; its answer may travel a little longer.
 ANSWER_SECONDS = 0.1
+# What a daemon tells those connected with it, besides answers.
+TOLD = (frames.News, frames.Levels, *frames.TOPIC_KINDS)
 
 
 class Pending(NamedTuple):
@@ -103,8 +105,8 @@
     Args:
         address: "host:port" at which it takes calls.
         hello: `frames.Hello` of this daemon.
-        take_news: Function that is told the address, and `frames.News` or
-            `frames.Levels` of it.
+        take_news: Function that is told the address, and what it tells, one of
+            `TOLD`.
     """
 
     def __init__(self, address, hello, take_news):
@@ -176,6 +178,11 @@
         finally:
             self._asked.pop(number, None)
 
+    def tell(self, frame):
+        """Send a message where there is a connection; else it is lost."""
+        if self._link is not None and self._link.transport is not None:
+            self._link.send(frame)
+
     def is_unused(self, since):
         """Return whether nothing is out, and nothing was sent since a time."""
         return not self._pending and not self._asked and self._last_used < since
@@ -193,7 +200,7 @@
             self._settle(frame)
         elif isinstance(frame, frames.Hello):
             self._greet(link, frame)
-        elif isinstance(frame, (frames.News, frames.Levels)):
+        elif isinstance(frame, TOLD):
             self._take_news(self.address, frame)
         elif isinstance(frame, frames.Ping):
             link.send(frames.Pong(frame.number))
@@ -362,8 +369,8 @@
 
     Args:
         hello: `frames.Hello` of this daemon.
-        take_news: Function that is told an address, and its `frames.News` or
-            `frames.Levels`.
+        take_news: Function that is told an address, and what it tells, one of
+            `TOLD`.
     """
 
     def __init__(self, hello, take_news):
--- a/whinwinch/directory.py
+++ b/whinwinch/directory.py
@@ -20,6 +20,8 @@
         self._recorded = {}
         self._told = {}
         self._services = {}
+        # `Endpoint` tuples of all daemons known; a new tuple after each change.
+        self.everyone = ()
 
     def record(self, address, endpoint):
         """Take a record of the log.
@@ -60,11 +62,13 @@
         return known - {self._own}
 
     def _rebuild(self):
-        services = {}
+        services, everyone = {}, []
         for address in sorted(self._recorded.keys() | self._told.keys()):
             endpoint = self._told.get(address) or self._recorded[address]
+            everyone.append(endpoint)
             if endpoint.service and not endpoint.leaving:
                 services.setdefault(endpoint.service, []).append(endpoint)
+        self.everyone = tuple(everyone)
         self._services = {name: tuple(listed) for name, listed in services.items()}
 
 
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -13,9 +13,10 @@
 
 from . import callgraph, directory, events, messages, routes
 from .backends.guard import Backend, Guard
-from .daemons import exchange, frames, links
+from .daemons import exchange, frames, links, topics
 from .forwarding import Forwarder
 from .levels import Board
+from .logservice import sources
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 
@@ -40,6 +41,9 @@
 # Time kept free at the end of the time allowed for a stop.
 STOP_RESERVE = 0.4
 STOP_TICK = 0.02
+# Between two looks at who reads the log: as soon as one that read is out of reach
+# another one should.
+SOURCES_SECONDS = 0.1
 
 
 class Place(NamedTuple):
@@ -100,7 +104,14 @@
             self._find_wait,
             self.graph,
         )
-        self.exchange = exchange.Exchange(hello, self.guard.serve, _refuse_forgotten)
+        self.exchange = exchange.Exchange(
+            hello,
+            self.guard.serve,
+            _refuse_forgotten,
+            take_topic=self._take_topic,
+        )
+        self.topics = topics.Topics(self._tell_all)
+        self._sources = sources.Sources(True, ())
         self.forwarder = Forwarder(
             place.address,
             self.directory,
@@ -275,6 +286,9 @@
         if isinstance(news, frames.Levels):
             self._board.tell(address, news.levels, self._loop.time())
             return
+        if isinstance(news, frames.TOPIC_KINDS):
+            self._take_topic(self.peers.find(address).tell, news)
+            return
         self.directory.tell(address, news.endpoint)
         self.graph.learn_entries(news.entries)
 
@@ -294,6 +308,37 @@
                 self._board.tell(self.place.address, levels, self._loop.time())
             told = levels
 
+    def is_reader(self):
+        """Return whether this daemon reads the log for others."""
+        return self._sources.is_reader
+
+    async def keep_sources(self):
+        """Stay connected with those that read the log, for ever."""
+        listed, ranks = None, None
+        while True:
+            if self.directory.everyone is not listed:
+                listed = self.directory.everyone
+                ranks = sources.Ranks(self.place.address, self.place.zone, listed)
+            self._sources = ranks.choose(self._is_up)
+            for address in self._sources.wanted:
+                self.peers.find(address).connect()
+            await asyncio.sleep(SOURCES_SECONDS)
+
+    def _is_up(self, address):
+        return self.peers.find(address).is_up
+
+    def _tell_all(self, frame):
+        """Tell those that hear from this daemon, and those that it hears from.
+
+        The latter may hang themselves, and nobody else be connected with them.
+        """
+        self.exchange.tell_all(frame)
+        for address in self._sources.wanted:
+            self.peers.find(address).tell(frame)
+
+    def _take_topic(self, reply, frame):
+        self.topics.take(reply, frame, self._loop.time())
+
     def list_levels(self):
         """Yield pairs of name and level for the routes to the own backend server."""
         for name in self._find_own_routes():
--- a/whinwinch/platform/followers.py
+++ b/whinwinch/platform/followers.py
@@ -12,50 +12,62 @@
 # hundreds of daemons don't come back together when the store does.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
-# A connection may fall silent for good. A read is given up 0.8 s after this, so three
-# seconds after it began, the time that is granted after an outage. At 1.5 s a daemon
-# made half as many calls again.
-WAIT_SECONDS = 2.2
+# A connection may fall silent for good: a read is given up 0.8 s after its wait, and
+# peers hear nothing of this daemon meanwhile.
+WAIT_SECONDS = 0.9
+# Between two looks at whether the log has to be read here.
+TURN_SECONDS = 0.1
 
 
-async def follow_topic(store, topic, take, take_all=None, wait=WAIT_SECONDS):
-    """Follow a keyed topic for ever.
+async def follow_topic(
+    store, topic, following, is_reader, note_read, wait=WAIT_SECONDS, gather=0.0
+):
+    """Keep the copy of a keyed topic current, for ever.
 
     Args:
         store: `store.Store`.
         topic: Its name.
-        take: Function from the `store.Record` tuples of a page.
-        take_all: As `take`, for the newest record of each key; `take` when not
-            given.
+        following: `keyed.Following` of it.
+        is_reader: Function that tells whether this daemon reads for the others.
+        note_read: Function that is told the topic when it was read to its end.
         wait: Seconds that a read waits for a new record.
+        gather: Seconds before the next read after one that brought records.
     """
-    offset, pause, lost = None, FIRST_PAUSE, None
+    pause, lost, is_gone = FIRST_PAUSE, None, False
     clock = asyncio.get_running_loop().time
     while True:
+        if not following.must_read(is_reader(), clock()):
+            await asyncio.sleep(TURN_SECONDS * random.uniform(0.5, 1.5))
+            continue
         try:
-            if offset is None:
+            if is_gone or not following.copy.is_known:
                 page = await store.read_newest(topic)
-                (take_all or take)(page.records)
+                following.copy.take_newest(page.records, page.end)
             else:
-                page = await store.read_on(topic, offset, wait)
-                take(page.records)
-            if page.skipped:
-                logging.warning("%d records of %s can't be read", page.skipped, topic)
-            offset, pause = page.end, FIRST_PAUSE
-            if lost is not None:
-                _log_store(topic, "regained", seconds=clock() - lost)
-            lost = None
+                start = following.copy.end
+                page = await store.read_on(topic, start, wait)
+                following.copy.take(page.records, start, page.end)
         except StoreError as error:
-            if error.outcome is Outcome.GONE:
+            is_gone = error.outcome is Outcome.GONE
+            if is_gone:
                 # Only the newest record of each key is left.
                 logging.info("history of %s is gone, reading the newest", topic)
-                offset = None
                 continue
             if lost is None:
                 _log_store(topic, "lost", problem=str(error))
                 lost = clock()
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(1.5 * pause, LONGEST_PAUSE)
+            continue
+        note_read(topic, clock())
+        pause, is_gone = FIRST_PAUSE, False
+        if lost is not None:
+            _log_store(topic, "regained", seconds=clock() - lost)
+        lost = None
+        if page.skipped:
+            logging.warning("%d records of %s can't be read", page.skipped, topic)
+        if page.records and gather:
+            await asyncio.sleep(gather * random.uniform(0.5, 1.5))
 
 
 def _log_store(topic, state, **more):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -16,9 +16,10 @@
 from ..http1.messages import HttpResponse
 from ..http1.server import Limits, Server
 from ..instance import Instance, Place
+from ..logservice import keyed
 from ..metrics import CONTENT_TYPE, Gauge, Metrics
 from . import configuration, dialect, followers, heartbeats, settings
-from .store import Outcome, Record, Store, StoreError
+from .store import Outcome, Store, StoreError
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -27,9 +28,16 @@
 READINESS_PATH = "/whinwinch/ready"
 METRICS_PATH = "/metrics"
 ANNOUNCEMENT_PREFIX = "/whinwinch/instances/"
+# A daemon whose peers have told nothing of the configuration for this long reads it
+# itself: it has to be in force within two seconds.
+CONFIGURATION_PATIENCE = 1.3
 # How long a read waits for other daemons' records: they tell most over their
 # connections, so a record may be late.
 INSTANCES_WAIT = 5.0
+INSTANCES_PATIENCE = 6.5
+# Daemons that start together write their records together; each would wake every
+# reader.
+INSTANCES_GATHER = 0.5
 RECORD_PAUSE = 0.4
 # The settings file may change without a signal.
 SETTINGS_SECONDS = 1.0
@@ -81,6 +89,12 @@
             ),
             given.repeat_ratio,
         )
+        self._configurations = self._follow(
+            CONFIGURATION_TOPIC, self._take_configuration, CONFIGURATION_PATIENCE
+        )
+        self._records = self._follow(
+            INSTANCES_TOPIC, self._take_instances, INSTANCES_PATIENCE
+        )
         limits = Limits()
         self._callers = Server(self._answer_call, limits)
         self._readiness = Server(self._answer_readiness, limits)
@@ -88,7 +102,6 @@
         self._metrics_page = Server(self._answer_metrics, limits)
         self._metrics = Metrics(self._list_gauges, "route")
         self._changed = asyncio.Event()
-        self._has_read = False
         self._stopping = asyncio.Event()
 
     async def run(self):
@@ -150,23 +163,34 @@
                 followers.follow_topic,
                 store,
                 CONFIGURATION_TOPIC,
-                self._take_configuration,
+                self._configurations,
+                instance.is_reader,
+                instance.topics.note_read,
             ),
             functools.partial(
                 followers.follow_topic,
                 store,
                 INSTANCES_TOPIC,
-                self._take_instances,
-                self._take_all_instances,
+                self._records,
+                instance.is_reader,
+                instance.topics.note_read,
                 INSTANCES_WAIT,
+                INSTANCES_GATHER,
             ),
             self._keep_record,
             self._watch_settings,
             instance.peers.keep,
             instance.exchange.keep,
             instance.keep_levels,
+            instance.keep_sources,
         )
 
+    def _follow(self, topic, take, patience):
+        """Return the `keyed.Following` of a topic, which peers are told of."""
+        following = keyed.Following(keyed.Copy(take), patience)
+        self.instance.topics.add(topic, following)
+        return following
+
     async def _answer_call(self, http, sender):
         """Answer a request of a caller or of the own backend server."""
         instance = self.instance
@@ -286,14 +310,6 @@
             self.instance.record_endpoint(record.key, endpoint)
         self._changed.set()
 
-    def _take_all_instances(self, records):
-        """Take the newest record of each address; others have left."""
-        known = {record.key for record in records}
-        for address in self.instance.directory.addresses - known:
-            self.instance.record_endpoint(address, None)
-        self._take_instances(records)
-        self._has_read = True
-
     async def _keep_record(self):
         """Keep the own record in the store in line with the backend server."""
         instance = self.instance
@@ -302,9 +318,9 @@
             self._changed.clear()
             wanted = instance.endpoint
             held = instance.directory.find_recorded(wanted.address)
-            if not self._has_read or not wanted.service or wanted == held:
+            if not self._records.copy.is_known or not wanted.service or wanted == held:
                 continue
-            record = Record(wanted.address, encode_endpoint(wanted))
+            record = keyed.Record(wanted.address, encode_endpoint(wanted))
             try:
                 await self._store.append(INSTANCES_TOPIC, record)
                 instance.directory.record(wanted.address, wanted)
@@ -316,7 +332,7 @@
 
     async def _withdraw_record(self):
         """Take the own record out of the store, so that nobody starts with it."""
-        record = Record(self.instance.place.address, b"")
+        record = keyed.Record(self.instance.place.address, b"")
         try:
             await self._store.append(INSTANCES_TOPIC, record)
         except StoreError as error:
--- a/whinwinch/platform/store.py
+++ b/whinwinch/platform/store.py
@@ -10,6 +10,7 @@
 
 from ..http1 import client
 from ..http1.messages import HttpRequest, format_request
+from ..logservice.keyed import Record
 
 # An answer takes some milliseconds; the store may be fifty times slower.
 CALL_SECONDS = 1.5
@@ -44,18 +45,6 @@
         self.outcome = outcome
 
 
-class Record(NamedTuple):
-    """A record of a keyed topic.
-
-    Attributes:
-        key: Its key.
-        value: Its value; b"" drops the key.
-    """
-
-    key: str
-    value: bytes
-
-
 class Page(NamedTuple):
     """Records of a keyed topic.
 
@@ -129,7 +118,7 @@
         body = await self._call("GET", "log-read", query, seconds=seconds)
         records, skipped, count = [], 0, 0
         for data in _split_records(body):
-            record = _decode_record(data)
+            record = _decode_record(data, offset + count)
             count += 1
             if record is None:
                 skipped += 1
@@ -209,12 +198,13 @@
         place += length
 
 
-def _decode_record(data):
+def _decode_record(data, offset):
     """Return the `Record` of a keyed topic's bytes, None when unreadable."""
     if not data or len(data) < 1 + data[0]:
         return None
     try:
-        return Record(data[1 : 1 + data[0]].decode(), data[1 + data[0] :])
+        key = data[1 : 1 + data[0]].decode()
+        return Record(key, data[1 + data[0] :], offset)
     except UnicodeDecodeError:
         return None
 
@@ -222,6 +212,7 @@
 def _decode_item(item):
     """Return the `Record` of an item of a page, None when unreadable."""
     try:
-        return Record(str(item["key"]), base64.b64decode(item["value"] or ""))
+        value = base64.b64decode(item["value"] or "")
+        return Record(str(item["key"]), value, int(item["offset"]))
     except (KeyError, TypeError, ValueError):
         return None
