Keep the budget of repeats by the windows in which operators count

Cause: each gatekeeper used half of the ratio of its present firsts and saved 4 tokens, so repeats were cut off far below what operators allow, the more so when requests break off early and fewer firsts arrive.

Change: firsts and repeats are counted over two windows; the budget goes by the fullest of the window, the one before and the one between, and by this endpoint's part of the slack. What is left is spent over half a window; while more is asked for, by importance and then by the hash of the root that all daemons share. A repeat that isn't handed to the backend server is given back; a daemon that starts anew grants its slack only as the window passes.

Not reached: whole requests of the highest importance; the calls three services down are matched to their requests by a guess, so the hash and the importance there are often another request's.

--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from standins import processes
+from whinwinch import repeats
 from whinwinch.platform.node import Node
 from whinwinch.platform.settings import InstanceSettings
 from whinwinch.settings import Address
@@ -135,7 +136,7 @@
             announcements=Address(LOCAL, ports[3]),
             metrics=ports[4],
             store=Address(LOCAL, self._store_port),
-            repeat_ratio=0.2,
+            repeats=repeats.Terms(0.2, 20.0, 10.0),
             drain=2.0,
             stop_grace=6.0,
         )
--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from whinwinch import callgraph
+from whinwinch import callgraph, repeats
 from whinwinch.backends import guard
 from whinwinch.http1 import messages as http
 from whinwinch.http1 import server
@@ -32,7 +32,11 @@
         self.guard = guard.Guard(
             Address("127.0.0.1", port),
             guard.Dialect(form, judge, lambda request, response: True),
-            0.2,
+            repeats.RepeatBudget(
+                repeats.Terms(0.2, 3.0, 10.0),
+                lambda: 1,
+                asyncio.get_running_loop().time() - 10.0,
+            ),
             lambda request: self.wait,
             callgraph.CallGraph(),
         )
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from .. import background, callgraph, decisions, gate, repeats
+from .. import background, callgraph, decisions, gate
 from ..http1 import client
 from ..messages import Outcome, Reason, build_failure
 from . import slots
@@ -70,17 +70,17 @@
     Args:
         address: `settings.Address` of the backend server.
         dialect: `Dialect`.
-        repeat_ratio: Repeats allowed for each first request.
+        budget: `repeats.RepeatBudget`.
         find_wait: Function from a request to the seconds that it may wait for a
             slot.
         watch: `callgraph.CallGraph` that is told what runs.
     """
 
-    def __init__(self, address, dialect, repeat_ratio, find_wait, watch):
+    def __init__(self, address, dialect, budget, find_wait, watch):
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
         self._pool = client.Pool(address.host, address.port, MOST_BODY)
-        self._repeats = repeats.RepeatBudget(repeat_ratio)
+        self._repeats = budget
         self._find_wait = find_wait
         self._watch = watch
         self._slots = slots.Slots(NO_SHARES)
@@ -129,15 +129,26 @@
             obstacle = Reason.DEADLINE
         if obstacle is not None:
             return self._refuse(request, obstacle, ABSENT_RETRY_AFTER)
-        if not request.again:
-            self._repeats.note_first()
-        elif not self._repeats.take():
+        if not self._count(request):
             return self._refuse(request, Reason.REPEATS, 0.0)
         decision = await self._slots.decide(request, self._find_wait(request))
         if decision.verdict is not gate.Verdict.ADMIT:
+            if request.again:
+                self._repeats.give_back(self._loop.time())
             return self._refuse(request, decision.reason, decision.retry_after)
         return await self._run_admitted(request)
 
+    def _count(self, request):
+        """Count an attempt as a first or as a repeat; return whether it may go on."""
+        now = self._loop.time()
+        if request.again:
+            return self._repeats.take(request, now)
+        if request.of_repeat:
+            self._repeats.note_caused(now)
+        else:
+            self._repeats.note_first(now)
+        return True
+
     def stop(self):
         """Take no new work; what waits can be tried elsewhere."""
         self.is_stopping = True
@@ -179,6 +190,7 @@
                 request.importance,
                 started + told,
                 request.due,
+                request.again or request.of_repeat,
             ),
             started,
         )
@@ -187,6 +199,8 @@
             answer = await self._forward(request)
         finally:
             self.running -= 1
+            if request.again and answer is not None and _is_unsent(answer):
+                self._repeats.give_back(self._loop.time())
             answered = answer is not None and answer.outcome is not Outcome.UNKNOWN
             whole = answer is not None and answer.succeeded
             self._watch.end(request.attempt, answered, whole)
@@ -234,6 +248,10 @@
         return answer._replace(load=self.load(request))
 
 
+def _is_unsent(answer):
+    return answer.outcome is Outcome.NOT_RUN and not answer.offered
+
+
 def _build_not_run(request, reason, retry_after=0.0):
     return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
 
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -72,6 +72,7 @@
     importance: int
     deadline: float
     due: float = math.inf
+    is_repeat: bool = False
 
 
 class Run:
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -11,7 +11,7 @@
 import random
 from typing import NamedTuple
 
-from . import callgraph, directory, events, messages, routes
+from . import callgraph, directory, events, messages, repeats, routes
 from .backends.guard import Backend, Guard
 from .daemons import exchange, frames, links, topics
 from .forwarding import Forwarder
@@ -84,10 +84,10 @@
         place: `Place`.
         backend_address: `settings.Address` of the backend server.
         dialect: `backends.guard.Dialect`.
-        repeat_ratio: Repeats allowed for each first request.
+        repeat_terms: `repeats.Terms` of all services.
     """
 
-    def __init__(self, place, backend_address, dialect, repeat_ratio):
+    def __init__(self, place, backend_address, dialect, repeat_terms):
         self._loop = asyncio.get_running_loop()
         self.place = place
         self.table = routes.Table()
@@ -100,7 +100,9 @@
         self.guard = Guard(
             backend_address,
             dialect,
-            repeat_ratio,
+            repeats.RepeatBudget(
+                repeat_terms, self._count_endpoints, self._loop.time()
+            ),
             self._find_wait,
             self.graph,
         )
@@ -279,6 +281,7 @@
             root=parent.run.request.root,
             due=parent.due,
             via=(self.guard.backend.service if self.guard.backend else "",),
+            of_repeat=parent.run.request.is_repeat,
         )
 
     def _take_news(self, address, news):
@@ -346,6 +349,12 @@
             if level > 0.0:
                 yield name, level
 
+    def _count_endpoints(self):
+        """Return how many endpoints the service of the own backend server has."""
+        backend = self.guard.backend
+        service = backend.service if backend is not None else ""
+        return len(self.directory.find_endpoints(service))
+
     def _find_own_routes(self):
         """Return the names of the routes that lead to the own backend server."""
         backend = self.guard.backend
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -85,6 +85,8 @@
             backend server, so that this one draws on the budget of repeats.
         due: Time of the event loop's clock by which the root request should be
             answered, its objective; infinite where there is none.
+        of_repeat: Whether the run that makes this call is itself a repeat, so that
+            the call counts as one too.
     """
 
     attempt: str
@@ -104,6 +106,7 @@
     body: bytes = b""
     again: bool = False
     due: float = math.inf
+    of_repeat: bool = False
 
 
 class Load(NamedTuple):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -87,7 +87,7 @@
                 dialect.judge_backend_answer,
                 dialect.belongs_to,
             ),
-            given.repeat_ratio,
+            given.repeats,
         )
         self._configurations = self._follow(
             CONFIGURATION_TOPIC, self._take_configuration, CONFIGURATION_PATIENCE
--- a/whinwinch/platform/settings.py
+++ b/whinwinch/platform/settings.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from ..errors import Finding, UserError, raise_findings
+from ..repeats import Terms
 from ..settings import Address
 from .values import parse_duration, parse_first_port, parse_place
 
@@ -32,7 +33,7 @@
         announcements: Where the backend server announces itself.
         metrics: Port of the metrics page, at the address of `daemons`; 0 for none.
         store: Address of the platform's store.
-        repeat_ratio: Repeats allowed for each first request of a service.
+        repeats: Repeats that operators allow, a `repeats.Terms`.
         drain: Time after which a leaving backend server gets nothing more.
         stop_grace: Time from the signal to stop until the process is killed.
     """
@@ -48,7 +49,7 @@
     announcements: Address
     metrics: int
     store: Address
-    repeat_ratio: float
+    repeats: Terms
     drain: float
     stop_grace: float
 
@@ -75,7 +76,9 @@
     # The first port that the platform leaves to the daemon's own use.
     _Field("network.internal_ports", "metrics", parse_first_port, "0"),
     _Field("platform.platform.address", "store", parse_place),
-    _Field("terms.bounds.retry_budget_ratio", "repeat_ratio", float, "0.1"),
+    _Field("terms.bounds.retry_budget_ratio", "ratio", float, "0.1"),
+    _Field("terms.bounds.budget_slack", "slack", float, "0"),
+    _Field("terms.bounds.budget_window", "window", parse_duration, "10s"),
     _Field("terms.bounds.drain", "drain", parse_duration, "2s"),
     _Field("terms.bounds.grace", "stop_grace", parse_duration, "6s"),
 )
@@ -118,4 +121,5 @@
         except ValueError as error:
             findings.append(Finding(field.name, str(error)))
     raise_findings("wrong settings", findings)
-    return InstanceSettings(**values)
+    repeats = Terms(*(values.pop(name) for name in Terms._fields))
+    return InstanceSettings(**values, repeats=repeats)
