Hear from peers after a restart while the store is away

Change: a daemon that is connected to asks the other for the topics of which it knows nothing; who reads for a zone visits the daemons of it that are out of reach; what a daemon told before it started anew is forgotten.

--- a/test/emulator/test_topics.py
+++ b/test/emulator/test_topics.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from emulator import mesh, press
+from emulator import caller, mesh, press
 from whinwinch.platform.store import Outcome, StoreError
 
 # Seconds within which a change has to be in force everywhere.
@@ -128,6 +128,30 @@
         again = await self.mesh.start_again(reader)
         await self.wait_for(4, [again])
 
+    async def test_daemon_that_starts_anew_while_the_store_is_away(self):
+        """The store is down, and a daemon is stopped and started again meanwhile.
+
+        Its callers would get 503 and its backend server no work until the store is
+        back, though all its peers know what it has forgotten.
+        """
+        member = next(
+            m for m in self.mesh.find("deep") if not m.node.instance.is_reader()
+        )
+        self.mesh.store.faults = self.mesh.store.faults._replace(refuse=503)
+        member.node.stop()
+        await member.task
+        again = await self.mesh.start_again(member)
+        await self.wait_for(3, [again])
+        seen = len(again.backend.runs)
+        status = press.FLOWS[1].kind._replace(deadline=5.0)
+        for _ in range(20):
+            told = await asyncio.gather(
+                *(caller.ask(m.callers, status) for m in self.mesh.members)
+            )
+            self.assertTrue(all(each.whole for each in told), told)
+            await asyncio.sleep(0.1)
+        self.assertGreater(len(again.backend.runs), seen)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -91,6 +91,7 @@
             self._exchange.check_token(frame.token)
             self._caller = self._exchange.find_caller(frame.daemon)
             self._caller.session = self
+            self._exchange.greet(self.send, frame)
         elif isinstance(frame, frames.Ping):
             self.send(frames.Pong(frame.number))
         elif self._caller is None:
@@ -119,6 +120,8 @@
             let in.
         take_topic: Function that is told one of `frames.TOPIC_KINDS`, and before it
             a function that sends a frame back.
+        greet: Function that is told the `frames.Hello` of a daemon that has
+            connected, and before it a function that sends a frame back.
     """
 
     def __init__(
@@ -129,6 +132,7 @@
         answer_gossip=None,
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
+        greet=lambda reply, hello: None,
     ):
         self._loop = asyncio.get_running_loop()
         self._serve = serve
@@ -136,6 +140,7 @@
         self._answer_gossip = answer_gossip
         self._admits = admits
         self.take_topic = take_topic
+        self.greet = greet
         self._background = background.Background()
         self._callers = {}
         self._listener = None
--- a/whinwinch/daemons/topics.py
+++ b/whinwinch/daemons/topics.py
@@ -29,6 +29,16 @@
         following.note_read(now)
         self._tell_all(frames.TopicEnd(topic, following.copy.end))
 
+    def ask_missing(self, reply):
+        """Ask a daemon that has connected for topics of which nothing is known.
+
+        A daemon that starts anew while the log can't be read has its configuration
+        from its peers, who call it, though it doesn't know them yet.
+        """
+        for topic, following in self._followings.items():
+            if not following.copy.is_known:
+                reply(frames.TopicAsk(topic, 0))
+
     def take(self, reply, frame, now):
         """Take what another daemon says of a topic.
 
--- a/whinwinch/directory.py
+++ b/whinwinch/directory.py
@@ -47,6 +47,14 @@
             self._told[address] = endpoint
             self._rebuild()
 
+    def forget_told(self, address):
+        """Forget what a daemon told that has started anew since.
+
+        It may have said that it leaves; now only its record speaks for it.
+        """
+        if self._told.pop(address, None) is not None:
+            self._rebuild()
+
     def find_endpoints(self, service):
         """Return the endpoints of a service, the leaving ones left out."""
         return self._services.get(service, ())
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import itertools
 import math
 import random
 from typing import NamedTuple
@@ -44,6 +45,8 @@
 # Between two looks at who reads the log: as soon as one that read is out of reach
 # another one should.
 SOURCES_SECONDS = 0.1
+# Daemons out of reach that a reader tries at one such look.
+MOST_VISITED = 8
 
 
 class Place(NamedTuple):
@@ -111,9 +114,12 @@
             self.guard.serve,
             _refuse_forgotten,
             take_topic=self._take_topic,
+            greet=self._greet,
         )
         self.topics = topics.Topics(self._tell_all)
         self._sources = sources.Sources(True, ())
+        # By address: the start of the daemon there that connected last.
+        self._starts = {}
         self.forwarder = Forwarder(
             place.address,
             self.directory,
@@ -173,6 +179,7 @@
         self.directory.record(address, endpoint)
         if endpoint is None:
             self.peers.forget(address)
+            self._starts.pop(address, None)
 
     async def serve(self, request, route, expires, connection=0):
         """Serve a request of a caller or a call of the own backend server.
@@ -323,10 +330,35 @@
                 listed = self.directory.everyone
                 ranks = sources.Ranks(self.place.address, self.place.zone, listed)
             self._sources = ranks.choose(self._is_up)
-            for address in self._sources.wanted:
+            for address in (*self._sources.wanted, *self._find_lost()):
                 self.peers.find(address).connect()
             await asyncio.sleep(SOURCES_SECONDS)
 
+    def _find_lost(self):
+        """Return daemons of the own zone that are out of reach, for a reader to visit.
+
+        One that has started anew while the log can't be read knows nobody and waits
+        to be found.
+        """
+        if not self.is_reader():
+            return ()
+        lost = (
+            endpoint.address
+            for endpoint in self.directory.everyone
+            if endpoint.zone == self.place.zone
+            and endpoint.address != self.place.address
+            and not self._is_up(endpoint.address)
+        )
+        return itertools.islice(lost, MOST_VISITED)
+
+    def _greet(self, reply, hello):
+        """Take the greeting of a daemon that has connected to this one."""
+        before = self._starts.get(hello.address)
+        self._starts[hello.address] = hello.daemon
+        if before != hello.daemon and not self._is_up(hello.address):
+            self.directory.forget_told(hello.address)
+        self.topics.ask_missing(reply)
+
     def _is_up(self, address):
         return self.peers.find(address).is_up
 
