--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -18,10 +18,8 @@
 
 Chance makes deadlines meet too. So a route counts as a caller's, or as the parent
 of another, only from several sights that are a fair share of all. A route that is
-wrongly taken for another's parent is refused for a load that isn't its own: with
-two sights as proof 104 of 1,444 back issues, which make no calls, were refused for
-a service that they never meet, with the share asked for none (first 12 s of a burst
-of 1.7 on a mesh of sixteen, one run each).
+wrongly taken for another's parent is refused for a load that isn't its own, at a
+service that its requests never meet.
 """
 
 import collections
@@ -47,9 +45,7 @@
 # A busy event loop reads a call this late at most; so much later than all that runs
 # a call can't expire.
 PROOF_SECONDS = 0.25
-# The next call of a request comes this soon after the answer to the one before: 80
-# to 82 of 100 within 0.1 ms, the rest within 3 ms, and 1,535 of 1,582 on the same
-# connection, of calls that their deadline tells apart too.
+# The next call of a request comes this soon after the answer to the one before.
 CHAIN_SECONDS = 0.003
 # Of the usual number of calls and time until the first the last fifty or so count.
 HABIT_WEIGHT = 0.02
@@ -463,9 +459,7 @@
     """Return a run as parent, with some importance at least from now on.
 
     A request whose first calls went as more important than it is keeps that. Its
-    last calls would be shed otherwise, with all that was done for the first: of 2,666
-    requests of the lowest importance 599 failed so in 8 s of a burst of 1.6 on a
-    mesh of thirteen, with this 370.
+    last calls would be shed otherwise, with all that was done for the first.
     """
     run.importance = max(run.importance, importance)
     return Parent(run, run.importance, run.request.due)
@@ -475,9 +469,8 @@
     """Return one of the runs that may have made a call as its parent.
 
     Its importance is between theirs, the higher of two. It goes by the earliest time
-    of theirs: by that of the guessed one calls of important requests waited behind
-    what is due sooner, and 229 of 1,346 filings failed instead of 172 (8 s of a burst
-    of 1.6 on a mesh of thirteen, one run each).
+    of theirs: by that of the guessed one calls of important requests would wait behind
+    what is due sooner.
     """
     importances = [int(other.request.importance) for other in possible]
     middle = math.ceil((min(importances) + max(importances)) / 2.0)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -21,9 +21,8 @@
 REACTION_SECONDS = 1.0
 CONTROL_SECONDS = 0.05
 # The part of the queue that is held full. A request that makes ten calls waits ten
-# times, and fails where any of them is refused: at a half, 26 of 100 requests of the
-# lowest importance failed after they had been let in, at a quarter 18 (8 s of a
-# burst of 1.6 on a mesh of thirteen; 4.5 and 3.4 on one of sixteen).
+# times, and fails where any of them is refused: the fuller the queue, the more of what
+# was let in fails.
 AIM_SHARE = 0.25
 MEAN_SECONDS = 5.0
 # The slack is followed near its lower end (the fall weighs four times the rise,
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -21,15 +21,11 @@
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 
-# Share of a route's objective that a request may wait for a slot. Longer, and
-# callers are told late what could have been said at once, and the calls of one
-# request wait one after the other: with the whole objective for these, half of
-# the requests of lowest importance came late in a burst of 1.7 (worth 0.29
-# instead of 0.36 over its first 12 s, one run each).
+# Share of a route's objective that a call from inside may wait for a slot. The calls
+# of one request wait one after the other: longer, and what is let in comes late.
 WAIT_SHARE = 0.25
 # A caller's own request waits here and nowhere else; what is left of its objective
-# is for the work. At a quarter 62 of 100 status checks came in time in the first 8 s
-# of a burst of 1.7, at a half 74; filings and payouts the same.
+# is for the work.
 CALLERS_WAIT_SHARE = 0.5
 # Where a route states no objective.
 USUAL_OBJECTIVE = 1.0
@@ -207,9 +203,8 @@
 
         Until callers have been sent elsewhere all is served, calls of other daemons
         too: the backend server lives on, and without this daemon nobody reaches it.
-        Refused from the signal on, a service of three endpoints lost one of them for
-        2.7 to 5.6 s a restart, and 34 of 100 requests of a day with restarts of all
-        daemons were not served; with this 30.
+        Refused from the signal on, a service of three endpoints loses one of them for
+        as long as the daemon takes to stop and start.
 
         Args:
             servers: `http1.server.Server` objects towards callers.
--- a/whinwinch/waiting.py
+++ b/whinwinch/waiting.py
@@ -8,12 +8,9 @@
 Order of service: importance, then the time by which the root request should be
 answered, then arrival. Requests that make many calls in turn wait at each of them;
 by arrival alone the last call of one, for which all else has been done, waits as long
-as the first of another. With the order by that time 703 instead of 651 of 952 status
-checks and 458 instead of 383 of 2,531 requests of the lowest importance came in time
-(first 8 s of a burst of 1.7 on a mesh of sixteen, one run each; on one of thirteen
-nothing differs by more than chance). Order of dropping: lowest importance first, then
-by the hash that all hops share. Strict rank order within one importance would leave
-the lowest to wait until their deadlines and be refused late.
+as the first of another. Order of dropping: lowest importance first, then by the hash
+that all hops share. Strict rank order within one importance would leave the lowest to
+wait until their deadlines and be refused late.
 """
 
 import bisect
