Tell refused callers to come back while an answer can be in time

Cause: a refused caller was told a pause by the pressure alone, up to seconds.

Change: the pause is at most what the objective leaves beside the usual latency of the call, spread over its second half; where nothing can be in time any more it stays what the pressure suggests.

--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -104,6 +104,19 @@
         self.assertEqual(len(self.calls), 2)
         self.assertGreater(answer.retry_after, 0.0)
 
+    async def test_refused_caller_comes_back_in_time(self):
+        """The level refuses nearly all, and suggests a pause of seconds.
+
+        An objective of one second is missed by whoever keeps to that.
+        """
+        forwarder = self.build([])
+        now = asyncio.get_running_loop().time()
+        self.board.tell("peer:0", [("c", 2.0)], now)
+        answer = await forwarder.serve(self.request(due=now + 1.0), 2)
+        self.assertIs(answer.outcome, Outcome.NOT_RUN)
+        self.assertGreater(answer.retry_after, 0.4)
+        self.assertLess(answer.retry_after, 1.0)
+
     async def test_safe_work_is_repeated_after_a_loss(self):
         forwarder = self.build([BROKEN], [BROKEN], [BROKEN])
         answer = await forwarder.serve(self.request(), 3)
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -8,7 +8,7 @@
 import collections
 import random
 
-from . import decisions, messages, retries, sending
+from . import decisions, hints, messages, retries, sending
 from .levels import refuse_below
 from .messages import Outcome, Reason, build_failure
 from .placement import Choice
@@ -54,11 +54,11 @@
             # here, all that has been done for it would be lost.
             refused = None if request.via else self._refuse_by_level(request)
             if refused is not None:
-                return retries.settle_answer(refused, may_have_run)
+                return self._settle(request, refused, may_have_run)
             choice = self._choose(request, tried)
             if choice.endpoint is None:
                 absent = self._refuse(request, Reason.NO_ENDPOINT, ABSENT_RETRY_AFTER)
-                return retries.settle_answer(absent, may_have_run)
+                return self._settle(request, absent, may_have_run)
             address = choice.endpoint.address
             tried.add(address)
             attempt = request._replace(
@@ -86,11 +86,21 @@
                 decision.ground,
             )
             if not decision.again:
-                return retries.settle_answer(answer, may_have_run)
+                return self._settle(request, answer, may_have_run)
             self.repeated[request.call] += 1
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
+    def _settle(self, request, answer, may_have_run):
+        """Return the answer to give; a refusal says when to come back."""
+        settled = retries.settle_answer(answer, may_have_run)
+        if settled.outcome is not Outcome.NOT_RUN or request.via:
+            return settled
+        usual = self._placement.find_usual(request)
+        room = request.due - self._loop.time() - usual
+        pause = hints.fit_retry_after(settled.retry_after, room, settled.attempt)
+        return settled._replace(retry_after=pause)
+
     def _log_failure(self, attempt, answer, endpoint):
         """Log a failure of the backend server, which is passed on as it is.
 
--- a/whinwinch/hints.py
+++ b/whinwinch/hints.py
@@ -19,6 +19,9 @@
 SPREAD_LOWEST = 0.5
 SPREAD_WIDTH = 1.0
 
+# With less time than this an answer would be late whenever its caller came back.
+SHORTEST_ROOM = 0.1
+
 
 def choose_retry_after(pressure, spread_key, base=BASE_SECONDS, most=MOST_SECONDS):
     """Choose how long a refused caller should wait, in seconds.
@@ -37,3 +40,19 @@
     mean = most if served * most <= base else base / served
     spread = SPREAD_LOWEST + SPREAD_WIDTH * messages.hash_root("hint:" + spread_key)
     return mean * spread
+
+
+def fit_retry_after(pause, room, spread_key):
+    """Return a pause after which an answer can still be in time, where one can.
+
+    A caller that comes back too late for its objective gets little for its answer,
+    while the service does the same work for it.
+
+    Args:
+        pause: Pause in seconds that the load suggests.
+        room: Seconds that the caller can wait and still be answered in time.
+        spread_key: As for `choose_retry_after`.
+    """
+    if pause <= room or room < SHORTEST_ROOM:
+        return pause
+    return room * (1.0 - SPREAD_LOWEST * messages.hash_root("fit:" + spread_key))
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -35,8 +35,8 @@
 FORGET_SECONDS = 20.0
 LATENCY_WEIGHT = 0.2
 # Four failures one after the other set an endpoint aside, a chance loss doesn't.
-# With the first answers counted for more, one reset among them kept the endpoint of
-# the own zone from work for seconds: 15 MB between zones in 14 s instead of 5.
+# Were the first answers counted for more, one reset among them would keep an endpoint
+# from work for seconds.
 FAILING_WEIGHT = 0.1
 # An endpoint set aside answers hardly any call, so its failures fade by time.
 FAILING_SECONDS = 5.0
@@ -50,8 +50,7 @@
 # A refusal marks an endpoint as full for about this long.
 FULL_SECONDS = 0.25
 # Another zone costs a round trip more, and bytes between zones are dear: worth it
-# from this much more load on. At 0.2, with both drawn from all zones, three of
-# four answers crossed zones on a mesh of four, 43 MB in 32 s.
+# from this much more load on.
 ZONE_COST = 0.5
 DEPARTED_SECONDS = 60.0
 
@@ -174,6 +173,10 @@
         ground = f"cost {min(costs):.2f} of {costs[0]:.2f}, {costs[1]:.2f}"
         return Choice(chosen, f"{ground}; {len(aside)} set aside")
 
+    def find_usual(self, request):
+        """Return the usual latency of a call in seconds, 0 while none is known."""
+        return self._usual.get(name_kind(request), 0.0)
+
     def start(self, daemon_id, now, request=None):
         """Note that an attempt is sent to a daemon.
 
