--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -11,6 +11,7 @@
 
 from whinwinch import events
 from whinwinch.daemons import exchange, frames, links
+from whinwinch.logservice import keyed
 from whinwinch.messages import (
     Answer,
     Endpoint,
@@ -394,6 +395,34 @@
         with self.assertRaises(frames.FrameError):
             list(frames.decode_frames(frames.build_unpacker(), data, 0.0))
 
+    def test_topic_frames_that_are_garbage(self):
+        """A peer with a fault sends records whose offsets or values are none.
+
+        Taken, they would bring the copy of a topic to where the log never was.
+        """
+        number = frames.KINDS.index(frames.TopicRecords)
+        end = frames.KINDS.index(frames.TopicEnd)
+        for fields in (
+            (end, "t", -1),
+            (end, "t", "9"),
+            (end, 7, 9),
+            (end, "t"),
+            (number, "t", 0, 5, [["k", "text", 1]]),
+            (number, "t", 0, 5, [["k", b"v", -1]]),
+            (number, "t", 0, 5, [["k", b"v"]]),
+            (number, "t", 0, None, []),
+        ):
+            data = msgpack.packb(fields)
+            with self.subTest(fields), self.assertRaises(frames.FrameError):
+                list(frames.decode_frames(frames.build_unpacker(), data, 0.0))
+
+    def test_records_of_a_topic_survive(self):
+        record = keyed.Record("k", b"v", 4)
+        sent = frames.TopicRecords("t", 2, 5, (record,))
+        data = frames.encode_frame(sent)
+        (got,) = frames.decode_frames(frames.build_unpacker(), data, 0.0)
+        self.assertEqual(sent, got)
+
     def test_time_left_travels(self):
         request = Request(
             "a", "r", "s", "c", "GET", "/", Importance.LOW, 12.5, due=11.0
