Confirm a copy of the log only by reads that reach its end

Found by reading: a read that hung while peers told of more, or a store that answers with what it held seconds ago, counted as confirmation, here and at those who were told. A change could have been missed beyond its two seconds without anybody reading. Three tests; run on the code before they end with errors, since the signature is another one, so that they fail there is by reading only.

--- a/test/logservice/test_keyed.py
+++ b/test/logservice/test_keyed.py
@@ -92,7 +92,7 @@
         self.copy = keyed.Copy(lambda records: None)
         self.following = keyed.Following(self.copy, PATIENCE)
         self.copy.take_newest((OLD,), 4)
-        self.following.note_read(0.0)
+        self.following.note_read(4, 0.0)
 
     def must_read(self, now):
         return self.following.must_read(False, now)
@@ -137,13 +137,36 @@
         self.following.take_end(8, 1.0)
         self.assertTrue(self.must_read(PATIENCE + 0.01))
 
-    def test_older_end_confirms_nothing_newer(self):
-        """A peer that is behind says how far it has come.
+    def test_older_end_confirms_nothing(self):
+        """A store answers with what it held seconds ago, and a peer tells its end.
 
-        It has read less than this copy holds, so it has found nothing newer.
+        Taken for a confirmation, a copy would count as new while a change is missed.
         """
         self.assertFalse(self.following.take_end(2, 1.0))
         self.assertEqual(self.copy.end, 4)
+        self.assertTrue(self.must_read(PATIENCE + 0.01))
+
+    def test_read_that_hung_while_peers_told_of_more(self):
+        """A read is answered late with the end of a moment before.
+
+        Told on, it would confirm the copies of others that miss the change.
+        """
+        self.following.take_end(8, 1.0)
+        self.following.take_records((NEW,), 4, 8)
+        self.assertFalse(self.following.note_read(4, 2.0))
+        self.assertTrue(self.must_read(1.01 + PATIENCE))
+        self.assertTrue(self.following.note_read(8, 3.0))
+        self.assertFalse(self.must_read(2.9 + PATIENCE))
+
+    def test_records_confirm_only_up_to_the_end_that_was_told_last(self):
+        """One peer tells of a change, then another that is behind tells its end.
+
+        The records of the change confirm the copy as of the first telling only.
+        """
+        self.following.take_end(8, 1.0)
+        self.following.take_end(6, 2.0)
+        self.following.take_records((NEW,), 4, 8)
+        self.assertTrue(self.must_read(1.01 + PATIENCE))
 
 
 if __name__ == "__main__":
--- a/test/platform/test_followers.py
+++ b/test/platform/test_followers.py
@@ -60,7 +60,7 @@
                 "keyed.op",
                 following,
                 lambda: True,
-                lambda topic, now: following.note_read(now),
+                lambda topic, end, now: following.note_read(end, now),
             )
         )
         async with asyncio.timeout(5.0):
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -104,7 +104,7 @@
                 TOPIC,
                 keyed.Following(keyed.Copy(self.taken.extend), 1.0),
                 lambda: True,
-                lambda topic, now: None,
+                lambda topic, end, now: None,
                 0.2,
             )
         )
--- a/whinwinch/daemons/topics.py
+++ b/whinwinch/daemons/topics.py
@@ -23,11 +23,10 @@
         """Follow a topic by its `keyed.Following`."""
         self._followings[topic] = following
 
-    def note_read(self, topic, now):
-        """Tell that a topic was read to its end."""
-        following = self._followings[topic]
-        following.note_read(now)
-        self._tell_all(frames.TopicEnd(topic, following.copy.end))
+    def note_read(self, topic, end, now):
+        """Tell that a topic was read up to an end."""
+        if self._followings[topic].note_read(end, now):
+            self._tell_all(frames.TopicEnd(topic, end))
 
     def ask_missing(self, reply):
         """Ask a daemon that has connected for topics of which nothing is known.
--- a/whinwinch/logservice/keyed.py
+++ b/whinwinch/logservice/keyed.py
@@ -137,9 +137,17 @@
         self._told = (0, -math.inf)
         self._asked = -math.inf
 
-    def note_read(self, now):
-        """Note that the log was read to its end."""
+    def note_read(self, end, now):
+        """Note that the log was read up to an end.
+
+        Returns:
+            Whether that confirms the copy. A read that hung while peers told of more,
+            or a log that answers with what it held before, confirms nothing.
+        """
+        if end < self.copy.end:
+            return False
         self._confirmed = now
+        return True
 
     def take_end(self, end, now):
         """Take the end of the topic, as a peer has just read it from the log.
@@ -147,10 +155,11 @@
         Returns:
             Whether to ask that peer for what is missing.
         """
-        self._told = (max(end, self._told[0]), now)
-        if end <= self.copy.end and self.copy.is_known:
-            self._confirmed = now
+        if self.copy.is_known and end <= self.copy.end:
+            self.note_read(end, now)
             return False
+        if end >= self._told[0]:
+            self._told = (end, now)
         if now - self._asked < ASK_SECONDS:
             return False
         self._asked = now
--- a/whinwinch/platform/followers.py
+++ b/whinwinch/platform/followers.py
@@ -29,7 +29,8 @@
         topic: Its name.
         following: `keyed.Following` of it.
         is_reader: Function that tells whether this daemon reads for the others.
-        note_read: Function that is told the topic when it was read to its end.
+        note_read: Function that is told the topic, the end up to which it was read,
+            and when.
         wait: Seconds that a read waits for a new record.
         gather: Seconds before the next read after one that brought records.
     """
@@ -59,7 +60,7 @@
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(1.5 * pause, LONGEST_PAUSE)
             continue
-        note_read(topic, clock())
+        note_read(topic, page.end, clock())
         pause, is_gone = FIRST_PAUSE, False
         if lost is not None:
             _log_store(topic, "regained", seconds=clock() - lost)
