Log the load of each second, and add it up by service

Lines about single requests are samples under load; nothing told whether the slots of a full service were busy beside refusals at the entries, nor whether jobs took longer while they were. One line a second for a daemon that has anything to do; refusals are counted by route and reason.

--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import os
 import unittest
 
 from emulator import backend, caller, mesh, press
+from whinwinch import events, loadlines
 from whinwinch.http1 import client
 from whinwinch.http1.messages import HttpRequest, format_request
 
@@ -258,10 +260,23 @@
         self.assertIn('whinwinch_latency_seconds_count{importance="high"', text)
         self.assertIn("whinwinch_configuration_version 3.0", text)
         self.assertIn('whinwinch_store_calls_total{outcome="done"}', text)
+        self.assertRegex(text, r"whinwinch_ended_total [1-9]")
         for line in texts[0].splitlines():
             if line.startswith("# HELP"):
                 self.assertGreater(len(line.split()), 5, line)
 
+    async def test_daemons_log_their_load(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        self.addCleanup(events.install, events.LogHolder.log)
+        events.install(events.Log(writing))
+        await self.ask(STATUS, 6)
+        await asyncio.sleep(2 * loadlines.LINE_SECONDS)
+        lines = map(json.loads, os.read(reading, 1 << 16).splitlines())
+        loads = [line for line in lines if line["event"] == "load"]
+        self.assertIn("deep", {load["service"] for load in loads})
+
     async def test_planned_stop_serves_until_callers_are_elsewhere(self):
         """A daemon is restarted beside the only endpoint that is left of a service.
 
--- /dev/null
+++ b/test/test_loadlines.py
@@ -0,0 +1,71 @@
+"""Tests of the lines on the load of each second."""
+
+import collections
+import json
+import os
+import types
+import unittest
+
+from whinwinch import decisions, events, gate, loadlines, messages
+from whinwinch.backends.guard import Backend
+
+
+class MeterTest(unittest.TestCase):
+    def setUp(self):
+        self.use = gate.Use()
+        self.guard = types.SimpleNamespace(
+            backend=Backend("i-1", "deep", 4),
+            refused=collections.Counter(),
+            measure_use=lambda: self.use,
+            load=lambda: messages.Load(in_service=4, waiting=2, limit=4),
+        )
+        self.forwarder = types.SimpleNamespace(refused=collections.Counter())
+        instance = types.SimpleNamespace(
+            guard=self.guard,
+            forwarder=self.forwarder,
+            list_route_levels=lambda: iter([loadlines.RouteLevel("browse", 0.0, 1.5)]),
+        )
+        self.meter = loadlines.Meter(instance, 10.0)
+
+    def test_tells_what_happened_since_the_line_before(self):
+        refusal = decisions.Refusal("browse", messages.Reason.LEVEL)
+        self.use = gate.Use(100, 4.0)
+        self.forwarder.refused[refusal] = 7
+        first = self.meter.read(12.0)
+        self.assertEqual((first.busy, first.ended, first.job_seconds), (2.0, 100, 0.04))
+        refused = (loadlines.Refused("entry", "browse", "admission-level", 7),)
+        self.assertEqual(first.refused, refused)
+        self.use = gate.Use(150, 8.0)
+        second = self.meter.read(13.0)
+        self.assertEqual((second.busy, second.ended, second.refused), (4.0, 50, ()))
+
+    def test_another_backend_server_starts_at_nothing(self):
+        self.use = gate.Use(1000, 40.0)
+        self.meter.read(11.0)
+        self.use = gate.Use(5, 0.5)
+        self.assertEqual(self.meter.read(12.0).busy, 0.5)
+
+    def test_idle_daemon_writes_nothing(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        self.addCleanup(events.install, events.LogHolder.log)
+        events.install(events.Log(writing))
+        loadlines.write_load(self.meter.read(11.0))
+        self.use = gate.Use(1, 0.5)
+        loadlines.write_load(self.meter.read(12.0))
+        (line,) = os.read(reading, 1 << 16).splitlines()
+        self.assertEqual(json.loads(line)["service"], "deep")
+
+
+class UseTest(unittest.TestCase):
+    def test_counts_those_still_inside(self):
+        guard = gate.Gate(2)
+        for name in ("a", "b"):
+            request = messages.Request(
+                name, name, "s", "call", "GET", "/", messages.Importance.LOW, 9.0
+            )
+            guard.offer(request, 1.0)
+        guard.finish("a", 1.5, 0.5, True)
+        use = guard.measure_use(2.0)
+        self.assertEqual((use.ended, use.seconds), (1, 1.5))
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -116,6 +116,10 @@
         """Return the load of the backend server as the gate sees it."""
         return self._slots.load(request)
 
+    def measure_use(self):
+        """Return the `gate.Use` of the backend server's slots since its start."""
+        return self._slots.measure_use()
+
     def find_level(self, route):
         """Return the admission level that requests of a route meet here."""
         if self.backend is None or self._find_obstacle(self.backend.service):
@@ -242,7 +246,7 @@
         return answer
 
     def _refuse(self, request, reason, retry_after):
-        self.refused[reason] += 1
+        self.refused[decisions.Refusal(request.call, reason)] += 1
         decisions.log_refusal(request, reason, retry_after, "gatekeeper")
         answer = _build_not_run(request, reason, retry_after)
         return answer._replace(load=self.load(request))
--- a/whinwinch/backends/slots.py
+++ b/whinwinch/backends/slots.py
@@ -55,6 +55,12 @@
             return messages.Load()
         return self._gate.load(self._loop.time(), request)
 
+    def measure_use(self):
+        """Return the `gate.Use` of the slots since they were opened."""
+        if self._gate is None:
+            return gate.Use()
+        return self._gate.measure_use(self._loop.time())
+
     def find_level(self, call):
         """Return the admission level that requests of a call meet here."""
         return self._gate.find_level(call, self._loop.time())
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -172,6 +172,6 @@
         return await self._peers.find(endpoint.address).call(attempt)
 
     def _refuse(self, request, reason, retry_after):
-        self.refused[reason] += 1
+        self.refused[decisions.Refusal(request.call, reason)] += 1
         decisions.log_refusal(request, reason, retry_after, "entry")
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -66,6 +66,18 @@
     expires: float = math.inf
 
 
+class Use(NamedTuple):
+    """What the slots of one backend server have been used for since its start.
+
+    Attributes:
+        ended: Requests that have left the backend server.
+        seconds: Seconds spent in slots, by those inside so far too.
+    """
+
+    ended: int = 0
+    seconds: float = 0.0
+
+
 class Lane:
     """Short or long jobs: their queue, demand, levels and service time."""
 
@@ -80,16 +92,25 @@
         self._time_sum = 0.0
         self._count = 0.0
         self._starts = 0.0
+        self._ended = 0
+        self._spent = 0.0
 
     def start(self, now):
         """Note that a job has been admitted."""
         self.in_service += 1
         self._starts += now
 
-    def end(self, began):
+    def end(self, began, now):
         """Note that a job admitted at `began` has left."""
         self.in_service -= 1
         self._starts -= began
+        self._ended += 1
+        self._spent += now - began
+
+    def measure_use(self, now):
+        """Return the `Use` of slots by jobs of this lane."""
+        inside = self.in_service * now - self._starts
+        return Use(self._ended, self._spent + inside)
 
     def estimate_mean(self, now):
         """Return the mean service time, allowing for jobs that haven't ended.
@@ -219,7 +240,7 @@
             if lane is self._short:
                 self._limit.observe(service_time, len(self._running) + 1, now)
         self._durations.end(running.kind)
-        lane.end(running.began)
+        lane.end(running.began, now)
         return self._admit_waiting(now)
 
     def withdraw(self, attempt, now):
@@ -283,6 +304,11 @@
             limit=self._limit.value,
         )
 
+    def measure_use(self, now):
+        """Return the `Use` of all slots."""
+        uses = [lane.measure_use(now) for lane in self._lanes()]
+        return Use(sum(use.ended for use in uses), sum(use.seconds for use in uses))
+
     def find_level(self, kind, now):
         """Return the admission level of a kind of job, as all callers meet it."""
         self._control(now)
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -11,7 +11,10 @@
         now: Time of the loop's clock.
     """
     load = instance.guard.load()
+    use = instance.guard.measure_use()
     gauges = [
+        Gauge("ended_total", use.ended),
+        Gauge("slot_seconds_total", use.seconds),
         Gauge("in_service", load.in_service),
         Gauge("waiting", load.waiting),
         Gauge("limit", load.limit),
@@ -32,8 +35,14 @@
         ("gatekeeper", instance.guard.refused),
     ):
         gauges += [
-            Gauge("refusals_total", count, build_labels(at=place, reason=reason.value))
-            for reason, count in refused.items()
+            Gauge(
+                "refusals_total",
+                count,
+                build_labels(
+                    at=place, route=refusal.route, reason=refusal.reason.value
+                ),
+            )
+            for refusal, count in refused.items()
         ]
     return gauges
 
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -11,7 +11,7 @@
 import random
 from typing import NamedTuple
 
-from . import callgraph, directory, events, messages, repeats, routes
+from . import callgraph, directory, events, loadlines, messages, repeats, routes
 from .backends.guard import Backend, Guard
 from .daemons import exchange, frames, links, topics
 from .forwarding import Forwarder
@@ -351,10 +351,22 @@
 
     def list_levels(self):
         """Yield pairs of name and level for the routes to the own backend server."""
+        for level in self.list_route_levels():
+            yield level.route, max(level.own, level.below)
+
+    def list_route_levels(self):
+        """Yield a `loadlines.RouteLevel` for each own route that has a level."""
         for name in self._find_own_routes():
-            level = max(self.guard.find_level(name), self._find_below(name))
-            if level > 0.0:
-                yield name, level
+            own, below = self.guard.find_level(name), self._find_below(name)
+            if own > 0.0 or below > 0.0:
+                yield loadlines.RouteLevel(name, own, below)
+
+    async def keep_load_lines(self):
+        """Log the load of each second, for ever."""
+        meter = loadlines.Meter(self, self._loop.time())
+        while True:
+            await asyncio.sleep(loadlines.LINE_SECONDS)
+            loadlines.write_load(meter.read(self._loop.time()))
 
     def _count_endpoints(self):
         """Return how many endpoints the service of the own backend server has."""
--- a/whinwinch/metrics.py
+++ b/whinwinch/metrics.py
@@ -26,6 +26,8 @@
     "events_total": "Requests that were not routed.",
     "refusals_total": "Refusals without a run, at the entry or the gatekeeper.",
     "store_calls_total": "Calls to the platform's store by what is known of them.",
+    "ended_total": "Requests that have left the backend server since its start.",
+    "slot_seconds_total": "Seconds that requests have spent in its slots.",
     "in_service": "Requests inside the backend server.",
     "waiting": "Requests that wait for a slot of the backend server.",
     "limit": "Present limit on requests inside the backend server.",
