--- a/test/gate_load.py
+++ b/test/gate_load.py
@@ -36,11 +36,24 @@
     served: float
 
 
-def play(slots, flows, seconds, seed=1):
+def keep_pace(running):
+    """Return the factor on the time of a job that starts: always the same."""
+    return 1.0
+
+
+def play(slots, flows, seconds, seed=1, slow_down=keep_pace):
     """Play flows at a gate; return a `Share` by kind.
 
     What the level told by the gate refuses doesn't arrive, as at an entry that has
     just heard of it; calls from inside do.
+
+    Args:
+        slots: Slots that the backend server announces.
+        flows: `Flow` tuples.
+        seconds: How long they come.
+        seed: Seed of the draws.
+        slow_down: Function from the jobs inside to the factor by which one that
+            starts among them takes longer.
     """
     draw = random.Random(seed)
     guard = gate.Gate(slots, 0.0, ())
@@ -50,10 +63,13 @@
         while (at := at + draw.expovariate(flow.rate)) < seconds:
             heapq.heappush(events, (at, next(numbers), ARRIVAL, flow))
     asked, served, works = collections.Counter(), collections.Counter(), {}
+    running = set()
 
     def admit(attempt, now):
         kind, work = works[attempt]
         served[kind] += 1
+        running.add(attempt)
+        work *= slow_down(len(running))
         heapq.heappush(events, (now + work, next(numbers), END, (attempt, work)))
 
     def settle(decisions, now):
@@ -65,6 +81,7 @@
         now, number, what, about = heapq.heappop(events)
         if what is END:
             attempt, work = about
+            running.remove(attempt)
             settle(guard.finish(attempt, now, work, True), now)
         elif what is EXPIRY:
             settle(guard.expire(now), now)
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -145,3 +145,14 @@
         got = gate_load.play(42, (short, long), 30.0)
         self.assertGreater(got["eta"].served, 0.99)
         self.assertGreater(got["status"].served, 0.55)
+
+    def test_backend_server_that_slows_down_when_full_serves_what_it_can(self):
+        """Guards against keeping all slots full where that costs throughput."""
+        jobs = gate_load.Flow("queue", 1500.0, 0.022, 0.075, ("front",))
+
+        def slow_down(running):
+            return 1.3 if running > 25 else 1.0
+
+        got = gate_load.play(27, (jobs,), 20.0, slow_down=slow_down)
+        best = 25 / 0.022 / 1500.0
+        self.assertGreater(got["queue"].served, 0.95 * best)
