Find the limit on requests in service by trials instead of by latency

Cause: endpoints of submissions slow down when nearly all their slots are taken. The limit fell only for jobs 1.5 times as long as the shortest lately, so all slots were kept full and fewer calls ended than with a few slots free. Class: a metastable overload; full, the service carries less than the demand that it would carry nearly full, and stays full.

Ruled out by them as the main cause: idle slots in the second burst (135.0 of 135 busy). Before that slots do stand idle, 108 to 126 of 135 busy: another fault.

Why it works: two limits take turns while the slots are full; jobs under both meet the same mix and the same deep services, so the difference is the limit's. Kept is the one that ends more, lower ones where that is even.

--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -1,10 +1,8 @@
-"""The limit on requests in service, and the admission level from the demand.
+"""The admission level of a backend server, from the demand for it.
 
 Load pattern: demand above what the backend server carries, for longer than a
-queue can hold; a backend server that carries less than it announced. Without a
-level every excess request is worked on by all hops above and refused here;
-without an adapting limit the backend server queues inside itself, out of the
-reach of deadlines and importance.
+queue can hold. Without a level every excess request is worked on by all hops above
+and refused here.
 
 Grounds. The level is computed, not searched for: the hash of the root spreads
 the requests of one importance evenly, so the demand that is refused further up
@@ -151,83 +149,6 @@
         return history[0][1] if history else 0.0
 
 
-class Limit:
-    """The limit on requests in service, from announced slots and latency seen.
-
-    The limit falls while the slots are full, latency has grown by more than
-    `SLOWER` over the lowest lately seen, and less concurrency doesn't cost
-    throughput; a step that cost throughput is taken back and tried again only
-    after a pause that doubles. A backend server that waits for a deep service
-    is slow without being overloaded: there the throughput shows that fewer
-    requests in service would be wrong.
-    """
-
-    SLOWER = 1.5
-    STEP = 0.9
-    LOSS = 0.95
-    MOST_PAUSE = 64
-    FORGET_SECONDS = 1800.0
-
-    def __init__(self, slots, now=None):
-        self.slots = slots
-        self.value = slots
-        self._start = now
-        self._count = 0
-        self._time_sum = 0.0
-        self._full = 0
-        self._lowest = None
-        self._before = None
-        self._pause = 0
-        self._next_pause = 1
-
-    def resize(self, slots):
-        """Take a newly announced number of slots."""
-        self.value = max(1, round(self.value * slots / max(self.slots, 1)))
-        self.slots = slots
-        self._before = None
-
-    def observe(self, service_time, in_service, now):
-        """Take the service time in seconds of one request that succeeded."""
-        if self._start is None:
-            self._start = now
-        self._count += 1
-        self._time_sum += service_time
-        self._full += in_service >= self.value
-        # Too few requests say nothing about latency; the window grows with it.
-        if self._count >= max(20, 4 * self.value) and now > self._start:
-            self._close(now)
-
-    def _close(self, now):
-        mean = self._time_sum / self._count
-        throughput = self._count / (now - self._start)
-        full = self._full > 0.8 * self._count
-        # Forgets slowly, so that a service that has become slower for good
-        # isn't held at a low limit for ever.
-        if self._lowest is not None:
-            self._lowest *= math.exp((now - self._start) / self.FORGET_SECONDS)
-        self._lowest = mean if self._lowest is None else min(mean, self._lowest)
-        self._adapt(mean, throughput, full)
-        self._start, self._count, self._time_sum, self._full = now, 0, 0.0, 0
-
-    def _adapt(self, mean, throughput, full):
-        if self._before is not None:
-            limit, previous = self._before
-            self._before = None
-            if throughput < previous * self.LOSS:
-                self.value = limit
-                self._pause = self._next_pause
-                self._next_pause = min(2 * self._next_pause, self.MOST_PAUSE)
-                return
-        if self._pause > 0:
-            self._pause -= 1
-        elif full and mean > self.SLOWER * self._lowest and self.value > 1:
-            self._before = (self.value, throughput)
-            self.value = max(1, int(self.value * self.STEP))
-        elif mean <= self.SLOWER * self._lowest and self.value < self.slots:
-            self.value = min(self.slots, max(self.value + 1, int(self.value * 1.1)))
-            self._next_pause = 1
-
-
 def find_levels(groups, capacity, corrections=(0.0,) * CLASSES):
     """Find the admission level of each group so that the demand fits.
 
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -13,7 +13,7 @@
 import math
 from typing import NamedTuple
 
-from . import admission, fairness, hints, messages, waiting
+from . import fairness, hints, limits, messages, waiting
 
 # Time that a changed level takes to act: to the entries with the answers, and
 # back with the requests that they admit. It sets how much may wait and how
@@ -177,7 +177,7 @@
     """
 
     def __init__(self, slots, now=0.0, dimensions=fairness.DIMENSIONS):
-        self._limit = admission.Limit(max(1, slots))
+        self._limit = limits.Limit(max(1, slots))
         self._durations = fairness.Durations()
         self._short = Lane(now, dimensions)
         self._long = Lane(now, dimensions)
