--- a/test/test_loadlines.py
+++ b/test/test_loadlines.py
@@ -6,7 +6,7 @@
 import types
 import unittest
 
-from whinwinch import decisions, events, gate, loadlines, messages
+from whinwinch import events, gate, loadlines, messages
 from whinwinch.backends.guard import Backend
 
 
@@ -28,7 +28,7 @@
         self.meter = loadlines.Meter(instance, 10.0)
 
     def test_tells_what_happened_since_the_line_before(self):
-        refusal = decisions.Refusal("browse", messages.Reason.LEVEL)
+        refusal = messages.Refusal("browse", messages.Reason.LEVEL)
         self.use = gate.Use(100, 4.0)
         self.forwarder.refused[refusal] = 7
         first = self.meter.read(12.0)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -16,7 +16,7 @@
 
 from .. import background, callgraph, decisions, gate
 from ..http1 import client
-from ..messages import Outcome, Reason, build_failure
+from ..messages import Outcome, Reason, Refusal, build_failure
 from . import slots
 
 # The backend server answers by its deadline itself; its word is worth a little
@@ -246,7 +246,7 @@
         return answer
 
     def _refuse(self, request, reason, retry_after):
-        self.refused[decisions.Refusal(request.call, reason)] += 1
+        self.refused[Refusal(request.call, reason)] += 1
         decisions.log_refusal(request, reason, retry_after, "gatekeeper")
         answer = _build_not_run(request, reason, retry_after)
         return answer._replace(load=self.load(request))
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -5,7 +5,6 @@
 from absl import logging
 
 from . import events
-from .messages import Reason
 
 
 class Placed(NamedTuple):
@@ -36,13 +35,6 @@
     at: str
 
 
-class Refusal(NamedTuple):
-    """What refusals are counted by: the route, and the `messages.Reason`."""
-
-    route: str
-    reason: Reason
-
-
 class Answered(NamedTuple):
     """An attempt was answered, and what follows from it."""
 
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -10,7 +10,7 @@
 
 from . import decisions, hints, messages, retries, sending
 from .levels import refuse_below
-from .messages import Outcome, Reason, build_failure
+from .messages import Outcome, Reason, Refusal, build_failure
 from .placement import Choice
 
 # When a caller may come back that found no endpoint at all: a heartbeat brings
@@ -172,6 +172,6 @@
         return await self._peers.find(endpoint.address).call(attempt)
 
     def _refuse(self, request, reason, retry_after):
-        self.refused[decisions.Refusal(request.call, reason)] += 1
+        self.refused[Refusal(request.call, reason)] += 1
         decisions.log_refusal(request, reason, retry_after, "entry")
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -62,6 +62,13 @@
     DEEPER = "refused-deeper"
 
 
+class Refusal(NamedTuple):
+    """What refusals are counted by: the route, and the reason."""
+
+    route: str
+    reason: Reason
+
+
 class Request(NamedTuple):
     """One attempt of one call, as the modules of a daemon see it.
 
