Let the endpoints of a service find one level together

Cause: each endpoint found a level for itself, and entries, which know one level for the service, went by the importance that the fullest endpoint cuts: 2.1 beside four 0 made 2.02, and when the one fell to 1.99 the level fell to 1.2. The others had idle slots, saw no demand for what the entries refused, and took it for gone. Class: several controllers of one quantity, each inferring from its own action instead of the one in force.

Why it works: gates of one service tell each other capacity and demand while one is pressed, add them up, and so find the same level; it is also the one in force, by which they infer.

--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -104,6 +104,8 @@
             self._exchange.take_gossip(self, frame)
         elif isinstance(frame, frames.TOPIC_KINDS):
             self._exchange.take_topic(self.send, frame)
+        elif isinstance(frame, frames.ServiceLoad):
+            self._exchange.take_load(frame)
 
 
 class Exchange:
@@ -122,6 +124,7 @@
             a function that sends a frame back.
         greet: Function that is told the `frames.Hello` of a daemon that has
             connected, and before it a function that sends a frame back.
+        take_load: Function that is told a `frames.ServiceLoad`.
     """
 
     def __init__(
@@ -133,6 +136,7 @@
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
         greet=lambda reply, hello: None,
+        take_load=lambda frame: None,
     ):
         self._loop = asyncio.get_running_loop()
         self._serve = serve
@@ -141,6 +145,7 @@
         self._admits = admits
         self.take_topic = take_topic
         self.greet = greet
+        self.take_load = take_load
         self._background = background.Background()
         self._callers = {}
         self._listener = None
