--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -14,7 +14,6 @@
 
 import collections
 import math
-from typing import NamedTuple
 
 from . import messages
 
@@ -24,52 +23,6 @@
 # Levels sent out within this time may still be in force at an entry.
 HISTORY_SECONDS = 1.0
 CHANGE_DEVIATIONS = 2.5
-# Of the capacity of one endpoint among several so much counts for each request that
-# it is asked for: to one that callers pass over, work doesn't go for being free.
-USED_CAPACITY = 1.25
-
-
-class Supply(NamedTuple):
-    """What the gate of one backend server, or of several together, has to divide.
-
-    Attributes:
-        capacity: Requests a second that can be served.
-        corrections: For each importance, what the requests that wait before its own
-            add to or take from the capacity.
-        rates: Demand for each importance, in requests a second, were none refused.
-    """
-
-    capacity: float = 0.0
-    corrections: tuple[float, ...] = (0.0,) * CLASSES
-    rates: tuple[float, ...] = (0.0,) * CLASSES
-
-    @property
-    def is_short(self):
-        """Whether more is asked for than can be served."""
-        return sum(self.rates) > self.capacity + self.corrections[0]
-
-    @property
-    def used_capacity(self):
-        """The capacity as far as callers are seen to use it."""
-        return min(self.capacity, USED_CAPACITY * sum(self.rates))
-
-
-NO_SUPPLY = Supply()
-
-
-def add_supplies(supplies):
-    """Return the `Supply` of several gates together."""
-    supplies = tuple(supplies)
-    return Supply(
-        sum(supply.used_capacity for supply in supplies),
-        _add_up(supply.corrections for supply in supplies),
-        _add_up(supply.rates for supply in supplies),
-    )
-
-
-def _add_up(rows):
-    """Return the sums of values by importance."""
-    return tuple(map(sum, zip((0.0,) * CLASSES, *rows, strict=True)))
 
 
 class Window:
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -120,19 +120,6 @@
         """Return the `gate.Use` of the backend server's slots since its start."""
         return self._slots.measure_use()
 
-    def find_supplies(self):
-        """Return the `gate.Supplies` of the own backend server."""
-        return self._slots.find_supplies()
-
-    def take_others(self, others):
-        """Take the `gate.Supplies` of the other endpoints of its service."""
-        self._slots.take_others(others)
-
-    @property
-    def is_pressed(self):
-        """Whether requests are refused here for want of room, or are to be."""
-        return self._slots.is_pressed
-
     def find_level(self, route):
         """Return the admission level that requests of a route meet here."""
         if self.backend is None or self._find_obstacle(self.backend.service):
--- a/whinwinch/backends/slots.py
+++ b/whinwinch/backends/slots.py
@@ -61,22 +61,6 @@
             return gate.Use()
         return self._gate.measure_use(self._loop.time())
 
-    def find_supplies(self):
-        """Return the `gate.Supplies` of this backend server alone."""
-        if self._gate is None:
-            return gate.Supplies()
-        return self._gate.find_supplies(self._loop.time())
-
-    def take_others(self, others):
-        """Take the `gate.Supplies` of the other endpoints of the service."""
-        if self._gate is not None:
-            self._gate.take_others(others)
-
-    @property
-    def is_pressed(self):
-        """Whether requests are refused, or are to be."""
-        return self._gate is not None and self._gate.is_pressed
-
     def find_level(self, call):
         """Return the admission level that requests of a call meet here."""
         return self._gate.find_level(call, self._loop.time())
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -104,8 +104,6 @@
             self._exchange.take_gossip(self, frame)
         elif isinstance(frame, frames.TOPIC_KINDS):
             self._exchange.take_topic(self.send, frame)
-        elif isinstance(frame, frames.ServiceLoad):
-            self._exchange.take_load(frame)
 
 
 class Exchange:
@@ -124,7 +122,6 @@
             a function that sends a frame back.
         greet: Function that is told the `frames.Hello` of a daemon that has
             connected, and before it a function that sends a frame back.
-        take_load: Function that is told a `frames.ServiceLoad`.
     """
 
     def __init__(
@@ -136,7 +133,6 @@
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
         greet=lambda reply, hello: None,
-        take_load=lambda frame: None,
     ):
         self._loop = asyncio.get_running_loop()
         self._serve = serve
@@ -145,7 +141,6 @@
         self._admits = admits
         self.take_topic = take_topic
         self.greet = greet
-        self.take_load = take_load
         self._background = background.Background()
         self._callers = {}
         self._listener = None
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from .. import admission, gate, messages
+from .. import messages
 from ..logservice import keyed
 
 # A request and its body, an answer and its body.
@@ -97,22 +97,6 @@
     levels: tuple[tuple[str, float], ...]
 
 
-class ServiceLoad(NamedTuple):
-    """What the gate of the sender's backend server has to divide.
-
-    Attributes:
-        address: Address of the sender.
-        service: Service of its backend server.
-        is_pressed: Whether requests are refused there, or are to be.
-        supplies: Its `gate.Supplies`.
-    """
-
-    address: str
-    service: str
-    is_pressed: bool
-    supplies: gate.Supplies
-
-
 class Gossip(NamedTuple):
     """A gossip message in its own encoding; the number is the sender's."""
 
@@ -176,7 +160,6 @@
     TopicEnd,
     TopicAsk,
     TopicRecords,
-    ServiceLoad,
 )
 TOPIC_KINDS = (TopicEnd, TopicAsk, TopicRecords)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
@@ -268,12 +251,6 @@
     if kind in (TopicEnd, TopicAsk):
         topic, offset = fields
         return kind(_check_text(topic), _check_offset(offset))
-    if kind is ServiceLoad:
-        address, service, is_pressed, (short, long) = fields
-        supplies = gate.Supplies(_decode_supply(*short), _decode_supply(*long))
-        return ServiceLoad(
-            _check_text(address), _check_text(service), bool(is_pressed), supplies
-        )
     if kind is TopicRecords:
         topic, start, end, records = fields
         return TopicRecords(
@@ -285,18 +262,6 @@
     return kind(*fields)
 
 
-def _decode_supply(capacity, corrections, rates):
-    return admission.Supply(
-        float(capacity), _check_rates(corrections), _check_rates(rates)
-    )
-
-
-def _check_rates(rates):
-    if len(rates) != admission.CLASSES:
-        raise ValueError("must be a number for each importance")
-    return tuple(map(float, rates))
-
-
 def _decode_record(key, value, offset):
     if type(value) is not bytes:
         raise ValueError("the value of a record must be bytes")
--- a/whinwinch/fairness.py
+++ b/whinwinch/fairness.py
@@ -137,41 +137,25 @@
             if self._levels[name] > 0.0:
                 demand.shrink(factor)
 
-    def update(self, capacity, corrections, now, others=()):
+    def update(self, capacity, corrections, now):
         """Set the levels so that what they admit fits a capacity.
 
         Args:
             capacity: Requests a second that can be served.
             corrections: What the queue adds to it or takes, by importance.
             now: Time of the loop's clock.
-            others: `admission.Supply` tuples of the other gates of the service,
-                whose demand counts to the flows that aren't hot.
-
-        Returns:
-            The own `admission.Supply`.
         """
         names = list(self._hot)
         flows = self._flows.get(self._dimension, ())
-        quiet = max(1, len(flows) - len(names))
-        hot = [self._hot[name].rates(now) for name in names]
-        rest = self._rest.rates(now)
-        own = admission.Supply(
-            capacity, tuple(corrections), tuple(map(sum, zip(rest, *hot, strict=True)))
-        )
-        pool = admission.add_supplies((own, *others)) if others else own
-        rest = [
-            all_rates - sum(rates)
-            for all_rates, *rates in zip(pool.rates, *hot, strict=True)
-        ]
-        groups = [(rest, quiet)]
-        groups += [(rates, 1) for rates in hot]
-        levels = admission.find_levels(groups, pool.capacity, pool.corrections)
+        others = max(1, len(flows) - len(names))
+        groups = [(self._rest.rates(now), others)]
+        groups += [(self._hot[name].rates(now), 1) for name in names]
+        levels = admission.find_levels(groups, capacity, corrections)
         self.rest_level = levels[0]
         self._rest.note_level(levels[0], now)
         self._levels = dict(zip(names, levels[1:], strict=True))
         for name in names:
             self._hot[name].note_level(self._levels[name], now)
-        return own
 
     def _regroup(self, now):
         self._regrouped = now
--- a/whinwinch/gate.py
+++ b/whinwinch/gate.py
@@ -13,7 +13,7 @@
 import math
 from typing import NamedTuple
 
-from . import admission, fairness, hints, limits, messages, waiting
+from . import fairness, hints, limits, messages, waiting
 
 # Time that a changed level takes to act: to the entries with the answers, and
 # back with the requests that they admit. It sets how much may wait and how
@@ -78,18 +78,6 @@
     seconds: float = 0.0
 
 
-class Supplies(NamedTuple):
-    """What one gate has to divide among short and among long jobs.
-
-    Attributes:
-        short: `admission.Supply` of the short ones.
-        long: That of the long ones.
-    """
-
-    short: admission.Supply = admission.NO_SUPPLY
-    long: admission.Supply = admission.NO_SUPPLY
-
-
 class Lane:
     """Short or long jobs: their queue, demand, levels and service time."""
 
@@ -106,8 +94,6 @@
         self._starts = 0.0
         self._ended = 0
         self._spent = 0.0
-        self.supply = admission.NO_SUPPLY
-        self.others = ()
 
     def start(self, now):
         """Note that a job has been admitted."""
@@ -323,28 +309,6 @@
         uses = [lane.measure_use(now) for lane in self._lanes()]
         return Use(sum(use.ended for use in uses), sum(use.seconds for use in uses))
 
-    def find_supplies(self, now):
-        """Return the `Supplies` of this gate alone."""
-        self._control(now)
-        return Supplies(self._short.supply, self._long.supply)
-
-    def take_others(self, others):
-        """Take the `Supplies` of the other gates of the service.
-
-        Args:
-            others: Tuple of them, without those that weren't heard of lately.
-        """
-        self._short.others = tuple(each.short for each in others)
-        self._long.others = tuple(each.long for each in others)
-
-    @property
-    def is_pressed(self):
-        """Whether some level is told, or one would be by this gate alone."""
-        return any(
-            lane.shares.rest_level > 0.0 or lane.supply.is_short
-            for lane in self._lanes()
-        )
-
     def find_level(self, kind, now):
         """Return the admission level of a kind of job, as all callers meet it."""
         self._control(now)
@@ -508,8 +472,7 @@
             idle = -excess / slots
             lane.shares.shrink(math.exp(-idle * elapsed / IDLE_SECONDS))
         capacity = lane.capacity * lane.factor
-        corrections = self._correct(lane, slots, length)
-        lane.supply = lane.shares.update(capacity, corrections, now, lane.others)
+        lane.shares.update(capacity, self._correct(lane, slots, length), now)
 
     def _correct(self, lane, slots, length):
         """Return what the queue adds to the capacity for each importance.
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -11,16 +11,7 @@
 import random
 from typing import NamedTuple
 
-from . import (
-    callgraph,
-    directory,
-    events,
-    loadlines,
-    messages,
-    pools,
-    repeats,
-    routes,
-)
+from . import callgraph, directory, events, loadlines, messages, repeats, routes
 from .backends.guard import Backend, Guard
 from .daemons import exchange, frames, links, topics
 from .forwarding import Forwarder
@@ -117,9 +108,7 @@
             _refuse_forgotten,
             take_topic=self._take_topic,
             greet=self._greet,
-            take_load=self._take_load,
         )
-        self._pool = pools.Pool()
         self.topics = topics.Topics(self._tell_all)
         self._sources = sources.Sources(True, ())
         # By address: the start of the daemon there that connected last.
@@ -315,52 +304,12 @@
         told = ()
         while True:
             await asyncio.sleep(TELL_SECONDS)
-            self._share_load()
             levels = tuple(self.list_levels())
             if levels or told:
                 self.exchange.tell_all(frames.Levels(levels))
                 self._board.tell(self.place.address, levels, self._loop.time())
             told = levels
 
-    def _share_load(self):
-        """Find the levels with the other endpoints of the service, while it matters.
-
-        Those that aren't pressed tell what they have as soon as one that is does.
-        """
-        others = self._list_others()
-        service = self.endpoint.service
-        told = self._pool.list_fresh(
-            service, [endpoint.address for endpoint in others], self._loop.time()
-        )
-        self.guard.take_others(tuple(each.supplies for each in told))
-        is_pressed = self.guard.is_pressed
-        if not others or not (is_pressed or any(each.is_pressed for each in told)):
-            return
-        load = frames.ServiceLoad(
-            self.place.address, service, is_pressed, self.guard.find_supplies()
-        )
-        for endpoint in others:
-            peer = self.peers.find(endpoint.address)
-            peer.connect()
-            peer.tell(load)
-
-    def _take_load(self, load):
-        """Take what the daemon of another endpoint tells of its gate."""
-        now = self._loop.time()
-        told = pools.Told(now, load.service, load.is_pressed, load.supplies)
-        self._pool.take(load.address, told)
-
-    def _list_others(self):
-        """Return the other endpoints of the service, none while the own one leaves."""
-        own = self.endpoint
-        if own.leaving:
-            return ()
-        return [
-            endpoint
-            for endpoint in self.directory.find_endpoints(own.service)
-            if endpoint.address != own.address
-        ]
-
     def is_reader(self):
         """Return whether this daemon reads the log for others."""
         return self._sources.is_reader
