Pass over turns of the limit in which no job took any time

Found by reading: with a clock that stands still their mean is 0, and its logarithm ended the daemon's handling of the answer with an error. Also: a name of its own for each of the two limits of a trial and for counted refusals.

--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -75,6 +75,12 @@
             limit.observe(0.1, 10, now)
         self.assertEqual(limit.value, 40)
 
+    def test_jobs_that_take_no_time_say_nothing(self):
+        limit = limits.Limit(4)
+        for number in range(400):
+            limit.observe(0.0, 4, 0.001 * number)
+        self.assertEqual(limit.value, 4)
+
     def test_single_slot_stays(self):
         limit = limits.Limit(1)
         self.observe(limit, self.share(1.0), 500)
--- a/test/test_loadlines.py
+++ b/test/test_loadlines.py
@@ -33,7 +33,7 @@
         self.forwarder.refused[refusal] = 7
         first = self.meter.read(12.0)
         self.assertEqual((first.busy, first.ended, first.job_seconds), (2.0, 100, 0.04))
-        refused = (loadlines.Refused("entry", "browse", "admission-level", 7),)
+        refused = (loadlines.RefusalCount("entry", "browse", "admission-level", 7),)
         self.assertEqual(first.refused, refused)
         self.use = gate.Use(150, 8.0)
         second = self.meter.read(13.0)
--- a/whinwinch/limits.py
+++ b/whinwinch/limits.py
@@ -39,8 +39,8 @@
 CHANGED = math.log(1.3)
 
 
-class Turns:
-    """Service times of the jobs that ended under one of two limits.
+class Arm:
+    """One of the two limits of a trial, and the jobs that ended under it.
 
     Args:
         limit: The limit.
@@ -79,7 +79,7 @@
     """
 
     def __init__(self, low, high):
-        self._arms = Turns(low), Turns(high)
+        self._arms = Arm(low), Arm(high)
         self._turns = 0
 
     @property
@@ -148,8 +148,8 @@
 
     @property
     def was_full(self):
-        """Whether nearly all jobs saw all slots taken."""
-        return self.full > FULL_SHARE * self.ended and self.count > 1
+        """Whether nearly all jobs saw all slots taken, and took any time."""
+        return self.full > FULL_SHARE * self.ended and self.total > 0.0
 
 
 class Limit:
--- a/whinwinch/loadlines.py
+++ b/whinwinch/loadlines.py
@@ -28,7 +28,7 @@
     below: float
 
 
-class Refused(NamedTuple):
+class RefusalCount(NamedTuple):
     """Refusals of one kind since the line before.
 
     Attributes:
@@ -56,7 +56,7 @@
         ended: Requests that left the backend server.
         job_seconds: Slot seconds for each of these.
         levels: `RouteLevel` tuples, routes without a level left out.
-        refused: `Refused` tuples.
+        refused: `RefusalCount` tuples.
     """
 
     service: str
@@ -67,7 +67,7 @@
     ended: int
     job_seconds: float
     levels: tuple[RouteLevel, ...]
-    refused: tuple[Refused, ...]
+    refused: tuple[RefusalCount, ...]
 
 
 class Meter:
@@ -117,7 +117,7 @@
         more = refused - self._refused
         self._refused = refused
         return tuple(
-            Refused(at, refusal.route, refusal.reason.value, count)
+            RefusalCount(at, refusal.route, refusal.reason.value, count)
             for (at, refusal), count in more.items()
         )
 
