Tell another backend server from a rounding error in the load lines

Found by reading: slot seconds that rounding takes down by a billionth would have been read as a new start, and the whole use since the old one told as that of one second.

--- a/test/test_loadlines.py
+++ b/test/test_loadlines.py
@@ -45,6 +45,12 @@
         self.use = gate.Use(5, 0.5)
         self.assertEqual(self.meter.read(12.0).busy, 0.5)
 
+    def test_rounding_is_not_taken_for_another_backend_server(self):
+        self.use = gate.Use(1000, 40.0)
+        self.meter.read(11.0)
+        self.use = gate.Use(1000, 40.0 - 1e-9)
+        self.assertEqual(self.meter.read(12.0).busy, 0.0)
+
     def test_idle_daemon_writes_nothing(self):
         reading, writing = os.pipe()
         self.addCleanup(os.close, reading)
--- a/whinwinch/loadlines.py
+++ b/whinwinch/loadlines.py
@@ -90,7 +90,7 @@
         load, backend = guard.load(), guard.backend
         use = guard.measure_use()
         # Another backend server's slots count from its own start.
-        before = self._use if use.seconds >= self._use.seconds else Use()
+        before = self._use if use.ended >= self._use.ended else Use()
         ended, spent = use.ended - before.ended, use.seconds - before.seconds
         elapsed = now - self._time
         self._time, self._use = now, use
