--- a/test/test_loadlines.py
+++ b/test/test_loadlines.py
@@ -8,6 +8,7 @@
 
 from whinwinch import events, gate, loadlines, messages
 from whinwinch.backends.guard import Backend
+from whinwinch.daemons import frames, traffic
 
 
 class MeterTest(unittest.TestCase):
@@ -24,7 +25,9 @@
             guard=self.guard,
             forwarder=self.forwarder,
             list_route_levels=lambda: iter([loadlines.RouteLevel("browse", 0.0, 1.5)]),
+            traffic=traffic.Traffic(lambda address: address == "far:1"),
         )
+        self.traffic = instance.traffic
         self.meter = loadlines.Meter(instance, 10.0)
 
     def test_tells_what_happened_since_the_line_before(self):
@@ -39,6 +42,16 @@
         second = self.meter.read(13.0)
         self.assertEqual((second.busy, second.ended, second.refused), (4.0, 50, ()))
 
+    def test_bytes_to_other_zones_are_told_by_kind_of_message(self):
+        self.traffic.note(frames.Levels, "far:1", 50)
+        self.traffic.note(frames.Levels, "near:1", 50)
+        self.meter.read(11.0)
+        self.traffic.note(frames.Levels, "far:1", 60)
+        self.traffic.note(frames.Levels, "far:1", 60)
+        sent = (traffic.Sent("levels", traffic.OTHER_ZONE, 2, 120),)
+        self.assertEqual(self.meter.read(12.0).sent, sent)
+        self.assertEqual(self.meter.read(13.0).sent, ())
+
     def test_another_backend_server_starts_at_nothing(self):
         self.use = gate.Use(1000, 40.0)
         self.meter.read(11.0)
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -13,7 +13,7 @@
 from absl import logging
 
 from .. import background
-from . import frames
+from . import frames, traffic
 
 # The caller gives up its open calls 0.8 s after it lost a connection, and may
 # need some seconds to notice that one has fallen silent.
@@ -55,6 +55,8 @@
         self._unpacker = frames.build_unpacker()
         self._caller = None
         self.transport = None
+        # Of the daemon that has connected, once it has introduced itself.
+        self.address = ""
 
     def connection_made(self, transport):
         """Introduce this daemon and its backend server."""
@@ -84,11 +86,18 @@
     def send(self, frame):
         """Send a message."""
         if self.transport is not None:
-            self.transport.write(frames.encode_frame(frame, self._loop.time()))
+            data = frames.encode_frame(frame, self._loop.time())
+            self.write(type(frame), data)
+
+    def write(self, kind, data):
+        """Send the bytes of a message of some type."""
+        self._exchange.traffic.note(kind, self.address, len(data))
+        self.transport.write(data)
 
     def _receive(self, frame):
         if isinstance(frame, frames.Hello):
             self._exchange.check_token(frame.token)
+            self.address = frame.address
             self._caller = self._exchange.find_caller(frame.daemon)
             self._caller.session = self
             self._exchange.greet(self.send, frame)
@@ -122,6 +131,7 @@
             a function that sends a frame back.
         greet: Function that is told the `frames.Hello` of a daemon that has
             connected, and before it a function that sends a frame back.
+        counted: `traffic.Traffic` that is told what is sent.
     """
 
     def __init__(
@@ -133,8 +143,10 @@
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
         greet=lambda reply, hello: None,
+        counted=None,
     ):
         self._loop = asyncio.get_running_loop()
+        self.traffic = counted or traffic.Traffic()
         self._serve = serve
         self._refuse = refuse
         self._answer_gossip = answer_gossip
@@ -166,7 +178,7 @@
         """Send a message to all connected daemons."""
         data = frames.encode_frame(frame)
         for session in self.sessions:
-            session.transport.write(data)
+            session.write(type(frame), data)
 
     def find_caller(self, daemon):
         """Return what is remembered of one start of another daemon."""
@@ -257,7 +269,7 @@
         """Send bytes where the caller is connected; else it asks again."""
         session = caller.session
         if data and session is not None and session.transport is not None:
-            session.transport.write(data)
+            session.write(frames.Reply, data)
 
     def _forget(self, now):
         for daemon, caller in tuple(self._callers.items()):
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -16,7 +16,7 @@
 
 from .. import events
 from ..messages import Outcome, Reason, build_failure
-from . import frames
+from . import frames, traffic
 
 # A new connection takes one round trip, 2 ms between zones; ten times that on a
 # busy machine. A lost packet costs a second: by then another endpoint is better.
@@ -73,7 +73,7 @@
         """Introduce this daemon."""
         self.transport = transport
         self.received = self._loop.time()
-        transport.write(frames.encode_frame(self._peer.hello))
+        self.send(self._peer.hello)
 
     def connection_lost(self, exc):
         """Tell the peer, which opens another connection if calls are out."""
@@ -96,7 +96,9 @@
 
     def send(self, frame):
         """Send a message."""
-        self.transport.write(frames.encode_frame(frame, self._loop.time()))
+        data = frames.encode_frame(frame, self._loop.time())
+        self._peer.traffic.note(type(frame), self._peer.address, len(data))
+        self.transport.write(data)
 
 
 class Peer:
@@ -107,10 +109,12 @@
         hello: `frames.Hello` of this daemon.
         take_news: Function that is told the address, and what it tells, one of
             `TOLD`.
+        counted: `traffic.Traffic` that is told what is sent.
     """
 
-    def __init__(self, address, hello, take_news):
+    def __init__(self, address, hello, take_news, counted):
         self._loop = asyncio.get_running_loop()
+        self.traffic = counted
         self._take_news = take_news
         self._numbers = itertools.count(1)
         self._pending = {}
@@ -371,10 +375,12 @@
         hello: `frames.Hello` of this daemon.
         take_news: Function that is told an address, and what it tells, one of
             `TOLD`.
+        counted: `traffic.Traffic` that is told what is sent.
     """
 
-    def __init__(self, hello, take_news):
+    def __init__(self, hello, take_news, counted=None):
         self._hello = hello
+        self._traffic = counted or traffic.Traffic()
         self._take_news = take_news
         self._peers = {}
 
@@ -389,7 +395,7 @@
         """Return the `Peer` of an address, made at its first use."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = Peer(address, self._hello, self._take_news)
+            peer = Peer(address, self._hello, self._take_news, self._traffic)
             self._peers[address] = peer
         return peer
 
--- a/whinwinch/directory.py
+++ b/whinwinch/directory.py
@@ -63,6 +63,11 @@
         """Return the endpoint that the log holds for an address, or None."""
         return self._recorded.get(address)
 
+    def find_zone(self, address):
+        """Return the availability zone of a daemon, "" where it isn't known."""
+        endpoint = self._told.get(address) or self._recorded.get(address)
+        return endpoint.zone if endpoint is not None else ""
+
     @property
     def addresses(self):
         """Addresses of all other daemons known."""
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -26,6 +26,10 @@
         Gauge("level", level, (Label("route", name),))
         for name, level in instance.list_levels()
     ]
+    for sent in instance.traffic.list_sent():
+        labels = build_labels(kind=sent.kind, place=sent.place)
+        gauges.append(Gauge("sent_bytes_total", sent.size, labels))
+        gauges.append(Gauge("sent_messages_total", sent.frames, labels))
     gauges += [
         Gauge("retries_total", count, build_labels(route=name))
         for name, count in instance.forwarder.repeated.items()
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -13,7 +13,7 @@
 
 from . import callgraph, directory, events, loadlines, messages, repeats, routes
 from .backends.guard import Backend, Guard
-from .daemons import exchange, frames, links, topics
+from .daemons import exchange, frames, links, topics, traffic
 from .forwarding import Forwarder
 from .levels import Board
 from .logservice import sources
@@ -90,7 +90,8 @@
         self.shares = routes.Shares()
         self.directory = directory.Directory(place.address)
         hello = frames.Hello(messages.new_identifier(), place.address)
-        self.peers = links.Peers(hello, self._take_news)
+        self.traffic = traffic.Traffic(self._is_far)
+        self.peers = links.Peers(hello, self._take_news, self.traffic)
         self.graph = callgraph.CallGraph()
         self._board = Board()
         self.guard = Guard(
@@ -108,6 +109,7 @@
             _refuse_forgotten,
             take_topic=self._take_topic,
             greet=self._greet,
+            counted=self.traffic,
         )
         self.topics = topics.Topics(self._tell_all)
         self._sources = sources.Sources(True, ())
@@ -334,6 +336,9 @@
             self.directory.forget_told(hello.address)
         self.topics.ask_missing(reply)
 
+    def _is_far(self, address):
+        return self.directory.find_zone(address) not in ("", self.place.zone)
+
     def _is_up(self, address):
         return self.peers.find(address).is_up
 
--- a/whinwinch/loadlines.py
+++ b/whinwinch/loadlines.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from . import events
+from .daemons import traffic
 from .gate import Use
 
 LINE_SECONDS = 1.0
@@ -57,6 +58,7 @@
         job_seconds: Slot seconds for each of these.
         levels: `RouteLevel` tuples, routes without a level left out.
         refused: `RefusalCount` tuples.
+        sent: `daemons.traffic.Sent` tuples, what was sent to other daemons.
     """
 
     service: str
@@ -68,6 +70,7 @@
     job_seconds: float
     levels: tuple[RouteLevel, ...]
     refused: tuple[RefusalCount, ...]
+    sent: tuple[traffic.Sent, ...]
 
 
 class Meter:
@@ -83,6 +86,7 @@
         self._time = now
         self._use = instance.guard.measure_use()
         self._refused = collections.Counter()
+        self._sent = ()
 
     def read(self, now):
         """Return the `Load` since the last reading."""
@@ -104,6 +108,7 @@
             round(spent / ended, 4) if ended else 0.0,
             tuple(self._instance.list_route_levels()),
             self._read_refused(),
+            self._read_sent(),
         )
 
     def _read_refused(self):
@@ -121,6 +126,12 @@
             for (at, refusal), count in more.items()
         )
 
+    def _read_sent(self):
+        sent = self._instance.traffic.list_sent()
+        more = traffic.subtract(sent, self._sent)
+        self._sent = sent
+        return more
+
 
 def write_load(load):
     """Log a `Load`, unless nothing was going on."""
--- a/whinwinch/metrics.py
+++ b/whinwinch/metrics.py
@@ -24,6 +24,8 @@
     "retries_total": "Retries that requests which entered here have caused.",
     "claims_total": "Claims of non-idempotent work by the log's verdict.",
     "events_total": "Requests that were not routed.",
+    "sent_bytes_total": "Bytes sent to other daemons, by kind of message and zone.",
+    "sent_messages_total": "Messages sent to other daemons, likewise.",
     "refusals_total": "Refusals without a run, at the entry or the gatekeeper.",
     "store_calls_total": "Calls to the platform's store by what is known of them.",
     "ended_total": "Requests that have left the backend server since its start.",
