Let a daemon use a few endpoints of each service

What callers saw on the large site was paid for with links: each of 195 daemons connected with every other, 37,800 links with their signs of life, news and told levels, and met an endpoint of a large service less than once in half a minute, so that it knew nothing of it.

Cause: an entry chose among all endpoints of a service and connected with each. Now the daemons of a zone are dealt out over the endpoints by their places in two orders that everyone works out alone (whinwinch/subsets.py): twelve of a service, eight of the own zone at most; the next in the order takes the place of one out of reach. Services of twelve and fewer are used whole, as before. Links that nobody uses for 30 s are closed; what such a daemon told is forgotten.

Weighed: rounds of shuffled endpoints (even to within one, but a caller that joins moves all after it), rendezvous hashing (moves least, but an endpoint has two thirds to four thirds of the mean). Shown: on the large site's layout each endpoint has half to twice the mean callers, in its own zone to within one; a member that comes moves at most two (test_subsets). test_size fails on the code before: 41 links where 20 are the bound.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -22,6 +22,7 @@
     Request,
     build_failure,
 )
+from whinwinch.subsets import Reach
 
 
 def build_request(number, seconds=5.0):
@@ -309,7 +310,7 @@
             await self.wait_until(lambda: self.peer.is_up)
             self.abort_sessions()
             await self.wait_until(lambda: not self.peer.is_up)
-            self.assertTrue(self.peer.is_worth_trying)
+            self.assertNotEqual(self.peer.reach, Reach.PAUSING)
 
     async def test_gossip_is_answered(self):
         answers = await asyncio.gather(self.peer.ask(b"abc"), self.peer.ask(b"12"))
--- /dev/null
+++ b/test/emulator/test_size.py
@@ -0,0 +1,62 @@
+"""Tests that what a daemon does for others doesn't grow with their number."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from emulator import caller, mesh, press
+from whinwinch.daemons import links
+from whinwinch.subsets import SUBSET_SIZE
+
+SIZE = 40
+SECONDS = 2.0
+BROWSE = press.FLOWS[-1].kind._replace(deadline=8.0)
+# Besides the endpoints that a daemon calls: readers of the log.
+SOURCES = 4
+
+
+def find_readers(built):
+    """Return the members that read the log for others."""
+    return [m for m in built.members if m.node.instance.is_reader()]
+
+
+class SizeTest(unittest.TestCase):
+    """Without the loop's debugging, which takes most of the time at this size."""
+
+    async def play(self, size, check):
+        """Check a mesh in which each daemon has served some requests."""
+        services = tuple(
+            s._replace(endpoints=size if s.name == "front" else 2)
+            for s in press.SERVICES
+        )
+        async with mesh.Mesh(services, press.CONFIGURATION) as built:
+            await built.wait_until(lambda: len(find_readers(built)) == 2)
+            # Links of the start, when nobody knew who reads, are not used again.
+            with unittest.mock.patch.object(links, "UNUSED_SECONDS", 0.5):
+                await asyncio.sleep(1.0)
+            entries = [member.callers for member in built.members]
+            for _ in range(2):
+                await asyncio.gather(*(caller.ask(entry, BROWSE) for entry in entries))
+            await check(built)
+
+    def test_links_of_a_daemon_are_bounded(self):
+        """Each daemon calls a service of many endpoints.
+
+        Connected with all of them, a daemon of a large mesh would run out of
+        descriptors, and signs of life would outweigh the calls.
+        """
+
+        async def check(built):
+            # Those of the small services, and readers of the log.
+            more = 4 + SOURCES
+            readers = find_readers(built)
+            for member in built.members:
+                connected = member.node.instance.peers.count_up()
+                if member not in readers:
+                    self.assertLessEqual(connected, SUBSET_SIZE + more)
+
+        asyncio.run(self.play(SIZE, check))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -5,7 +5,15 @@
 import unittest
 import unittest.mock
 
-from whinwinch import directory, events, forwarding, levels, messages, placement
+from whinwinch import (
+    directory,
+    events,
+    forwarding,
+    levels,
+    messages,
+    placement,
+    subsets,
+)
 from whinwinch.messages import Answer, Endpoint, Importance, Outcome, Reason
 
 OWN = "own:1"
@@ -15,7 +23,7 @@
     """An endpoint's daemon that answers from a list."""
 
     is_up = True
-    is_worth_trying = True
+    reach = subsets.Reach.UP
 
     def __init__(self, answers):
         self.answers = answers
@@ -61,6 +69,7 @@
         return forwarding.Forwarder(
             OWN,
             known,
+            subsets.Subsets(OWN, "z", known),
             self.peers,
             FakeGuard(),
             placement.Placement("z", random.Random(1)),
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -16,6 +16,7 @@
 
 from .. import events
 from ..messages import Outcome, Reason, build_failure
+from ..subsets import Reach
 from . import frames, traffic
 
 # A new connection takes one round trip, 2 ms between zones; ten times that on a
@@ -136,9 +137,13 @@
         return self._link is not None
 
     @property
-    def is_worth_trying(self):
-        """Whether a call may be sent, or a connection is due to be tried."""
-        return self.is_up or self._loop.time() >= self._next_try
+    def reach(self):
+        """The `Reach` of the other daemon."""
+        if self.is_up:
+            return Reach.UP
+        if not self._pause:
+            return Reach.UNTRIED
+        return Reach.DUE if self._loop.time() >= self._next_try else Reach.PAUSING
 
     async def call(self, request):
         """Send one attempt and return its answer; never raises for the network."""
@@ -198,6 +203,11 @@
         if self._loop.time() >= self._next_try:
             self._connecting = self._loop.create_task(self._connect())
 
+    def keep(self):
+        """Stay connected though no call goes there."""
+        self._last_used = self._loop.time()
+        self.connect()
+
     def receive(self, link, frame):
         """Take a message of the other daemon."""
         if isinstance(frame, frames.Reply):
@@ -412,11 +422,18 @@
         Gossip changes its partners every few seconds, and instances are
         replaced: without this a daemon would hold a connection to every daemon
         that there has ever been, and its memory would grow for weeks.
+
+        Returns:
+            The addresses of those that were dropped.
         """
-        for address, peer in tuple(self._peers.items()):
-            if peer.is_unused(now - UNUSED_SECONDS):
-                del self._peers[address]
-                peer.close()
+        unused = [
+            address
+            for address, peer in self._peers.items()
+            if peer.is_unused(now - UNUSED_SECONDS)
+        ]
+        for address in unused:
+            self._peers.pop(address).close()
+        return unused
 
     async def keep(self):
         """Check all links, for ever."""
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -8,7 +8,7 @@
 import collections
 import random
 
-from . import decisions, hints, messages, retries, sending
+from . import decisions, hints, messages, retries, sending, subsets
 from .levels import refuse_below
 from .messages import Outcome, Reason, Refusal, build_failure
 from .placement import Choice
@@ -24,16 +24,18 @@
     Args:
         own: Address of this daemon.
         directory: `directory.Directory`.
+        preferences: `subsets.Subsets`.
         peers: `daemons.links.Peers`.
         guard: `backends.guard.Guard` of the own backend server.
         placement: `placement.Placement`.
         board: `levels.Board`.
     """
 
-    def __init__(self, own, directory, peers, guard, placement, board):
+    def __init__(self, own, directory, preferences, peers, guard, placement, board):
         self._loop = asyncio.get_running_loop()
         self._own = own
         self._directory = directory
+        self._preferences = preferences
         self._peers = peers
         self._guard = guard
         self._placement = placement
@@ -125,23 +127,17 @@
         return self._placement.choose(request, endpoints, now, tried)
 
     def _find_usable(self, service):
-        """Return the endpoints whose daemons can be reached, as far as is known.
-
-        Those that are connected; where there is none, those worth trying.
-        """
-        connected, untried = [], []
-        for endpoint in self._directory.find_endpoints(service):
-            address = endpoint.address
-            if address == self._own:
-                connected.append(endpoint)
-                continue
-            peer = self._peers.find(address)
-            if peer.is_up:
-                connected.append(endpoint)
-            elif peer.is_worth_trying:
-                untried.append(endpoint)
-                peer.connect()
-        return connected or untried
+        """Return the endpoints to choose from, whose daemons can be reached."""
+        preferred = self._preferences.list_preferred(service)
+        usable = subsets.choose_usable(preferred, self._find_reach)
+        for endpoint in usable.wanted:
+            self._peers.find(endpoint.address).connect()
+        return usable.endpoints
+
+    def _find_reach(self, address):
+        if address == self._own:
+            return subsets.Reach.UP
+        return self._peers.find(address).reach
 
     def _count_open(self, service, tried):
         usable = self._find_usable(service)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -11,7 +11,16 @@
 import random
 from typing import NamedTuple
 
-from . import callgraph, directory, events, loadlines, messages, repeats, routes
+from . import (
+    callgraph,
+    directory,
+    events,
+    loadlines,
+    messages,
+    repeats,
+    routes,
+    subsets,
+)
 from .backends.guard import Backend, Guard
 from .daemons import exchange, frames, links, topics, traffic
 from .forwarding import Forwarder
@@ -118,6 +127,7 @@
         self.forwarder = Forwarder(
             place.address,
             self.directory,
+            subsets.Subsets(place.address, place.zone, self.directory),
             self.peers,
             self.guard,
             Placement(place.zone, random.Random()),
@@ -172,6 +182,9 @@
     def record_endpoint(self, address, endpoint):
         """Take what the log holds of the daemon at an address, None for nothing."""
         self.directory.record(address, endpoint)
+        if not self._is_up(address):
+            # It may have told of an earlier start that it leaves.
+            self.directory.forget_told(address)
         if endpoint is None:
             self.peers.forget(address)
             self._starts.pop(address, None)
@@ -325,7 +338,9 @@
                 ranks = sources.Ranks(self.place.address, self.place.zone, listed)
             self._sources = ranks.choose(self._is_up)
             for address in self._sources.wanted:
-                self.peers.find(address).connect()
+                self.peers.find(address).keep()
+            for address in self.peers.drop_unused(self._loop.time()):
+                self.directory.forget_told(address)
             await asyncio.sleep(SOURCES_SECONDS)
 
     def _greet(self, reply, hello):
