Ask one newcomer at a time for a topic of which nothing is known

A daemon that knows nothing of a topic asked every daemon that connected for all of it. Where hundreds start together while the log can't be read, each sends the whole topic, 230 bytes a daemon. Now the next one is asked 0.3 s later, as where a copy is behind. test_newcomers_are_asked_one_after_the_other counts one asking for 200 newcomers, 200 before.

--- a/test/logservice/test_keyed.py
+++ b/test/logservice/test_keyed.py
@@ -101,6 +101,18 @@
         unread = keyed.Following(keyed.Copy(lambda records: None), PATIENCE)
         self.assertTrue(unread.must_read(False, 0.0))
 
+    def test_newcomers_are_asked_one_after_the_other(self):
+        """Hundreds of daemons start together, and the log can't be read yet.
+
+        Asked by each daemon that connects, all of them would send the whole topic.
+        """
+        unread = keyed.Following(keyed.Copy(lambda records: None), PATIENCE)
+        asked = [unread.ask_all(0.001 * number) for number in range(200)]
+        self.assertEqual(asked.count(True), 1)
+        # The one that was asked may hang.
+        self.assertTrue(unread.ask_all(keyed.ASK_SECONDS))
+        self.assertFalse(self.following.ask_all(9.0))
+
     def test_reader_reads_whatever_peers_tell(self):
         self.assertTrue(self.following.must_read(True, 0.0))
 
--- a/whinwinch/daemons/topics.py
+++ b/whinwinch/daemons/topics.py
@@ -28,14 +28,14 @@
         if self._followings[topic].note_read(end, now):
             self._tell_all(frames.TopicEnd(topic, end))
 
-    def ask_missing(self, reply):
+    def ask_missing(self, reply, now):
         """Ask a daemon that has connected for topics of which nothing is known.
 
         A daemon that starts anew while the log can't be read has its configuration
         from its peers, who call it, though it doesn't know them yet.
         """
         for topic, following in self._followings.items():
-            if not following.copy.is_known:
+            if following.ask_all(now):
                 reply(frames.TopicAsk(topic, 0))
 
     def take(self, reply, frame, now):
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -349,7 +349,7 @@
         self._starts[hello.address] = hello.daemon
         if before != hello.daemon and not self._is_up(hello.address):
             self.directory.forget_told(hello.address)
-        self.topics.ask_missing(reply)
+        self.topics.ask_missing(reply, self._loop.time())
 
     def _is_far(self, address):
         return self.directory.find_zone(address) not in ("", self.place.zone)
--- a/whinwinch/logservice/keyed.py
+++ b/whinwinch/logservice/keyed.py
@@ -167,6 +167,17 @@
         self._asked = now
         return True
 
+    def ask_all(self, now):
+        """Return whether to ask a peer that has come for the whole topic.
+
+        Peers come by the hundred where all start together: asked by each newcomer,
+        each would send all of it.
+        """
+        if self.copy.is_known or now - self._asked < ASK_SECONDS:
+            return False
+        self._asked = now
+        return True
+
     def take_records(self, records, start, end):
         """Take what a peer has sent."""
         if self.copy.take(records, start, end):
