Tell levels to a relay of each zone instead of to everyone

Each daemon told its levels ten times a second to all that were connected with it.

Now the daemons of a zone tell the one that reads the log for them, the relay. It adds up what each importance is cut, tells the relays of the other zones its sum, and its own zone the sum of all, twenty times a second. Sums keep what combining needs, so the level of a service is the same as before. A zone of more than 64 daemons has as many groups, each with a relay and reader of its own; that also holds the reader's tellings of the log at the size in two years within bounds (design/news.md, open until now). test_one_reader_in_each_zone said three readers for three zones of 100; it asks for one a group now and that each of them hears all others.

News of a backend server no longer carry the version of the configuration, which nobody read: each change was told to all links.

--- a/bench/ways.py
+++ b/bench/ways.py
@@ -73,7 +73,7 @@
     port = await serving.listen(LOCAL, 0)
     peers = links.Peers(frames.Hello("c", "c"), lambda address, news: None)
     # A daemon introduces itself before anything else.
-    serving.news = frames.News(messages.Endpoint("s", "s", ""), 0)
+    serving.news = frames.News(messages.Endpoint("s", "s", ""))
     peer = peers.find(f"{LOCAL}:{port}")
 
     async def close():
--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from whinwinch import events
+from whinwinch import board, events
 from whinwinch.daemons import exchange, frames, links
 from whinwinch.logservice import keyed
 from whinwinch.messages import (
@@ -85,6 +85,7 @@
         self.hold = asyncio.Event()
         self.hold.set()
         self.told = []
+        self.levels = []
         self.tokens = ("",)
         self.shown = 0
         await self.start_called("d1", 0)
@@ -101,8 +102,9 @@
             self.refuse,
             self.answer_gossip,
             self.admits,
+            take_levels=lambda *told: self.levels.append(told),
         )
-        self.called.news = frames.News(Endpoint("x", "x", "s"), 3)
+        self.called.news = frames.News(Endpoint("x", "x", "s"), ("c",))
         self.port = await self.called.listen("127.0.0.1", port)
         self.forgetting = asyncio.create_task(self.called.keep())
 
@@ -355,12 +357,34 @@
 
     async def test_news_and_levels(self):
         await self.peer.call(build_request(1))
-        self.called.tell(frames.News(Endpoint("x", "x", "s", leaving=True), 4))
-        self.called.tell_all(frames.Levels((("c", 1.5),)))
+        self.called.tell(frames.News(Endpoint("x", "x", "s", leaving=True), ("c", "d")))
+        cuts = (board.RouteCut("c", (1000, 500, 0, 0)),)
+        self.called.tell_all(frames.LevelSum(True, cuts))
         await self.wait_until(lambda: len(self.told) == 3)
-        self.assertEqual([news.version for _, news in self.told[:2]], [3, 4])
+        entries = [news.entries for _, news in self.told[:2]]
+        self.assertEqual(entries, [("c",), ("c", "d")])
         self.assertTrue(self.told[1][1].endpoint.leaving)
-        self.assertEqual(self.told[2][1].levels, (("c", 1.5),))
+        self.assertEqual(self.told[2][1], frames.LevelSum(True, cuts))
+
+    async def test_levels_told_by_a_caller(self):
+        """A daemon tells its relay its levels over its own connection.
+
+        Lost there, the level of a full service would reach nobody.
+        """
+        levels = frames.Levels((("c", 1.5),))
+        await self.peer.call(build_request(1))
+        self.peer.tell(levels)
+        await self.wait_until(lambda: self.levels)
+        self.assertEqual(self.levels, [("127.0.0.1:1", levels)])
+
+    async def test_only_those_that_want_it_are_told(self):
+        await self.peer.call(build_request(1))
+        told = len(self.told)
+        whole = frames.LevelSum(True, ())
+        self.called.tell_all(whole, lambda address: address != "127.0.0.1:1")
+        self.called.tell_all(frames.LevelSum(False, ()))
+        await self.wait_until(lambda: len(self.told) > told)
+        self.assertEqual(self.told[told][1], frames.LevelSum(False, ()))
 
 
 class FramesTest(unittest.TestCase):
--- a/test/emulator/test_size.py
+++ b/test/emulator/test_size.py
@@ -57,6 +57,39 @@
 
         asyncio.run(self.play(SIZE, check))
 
+    def test_levels_are_told_a_few_times_only(self):
+        """A service is full, and every daemon has a level to tell.
+
+        Told to all others ten times a second, levels of hundreds of daemons are more
+        messages than there are calls.
+        """
+
+        async def check(built):
+            for member in built.members:
+                member.node.instance.guard.find_level = lambda route: 1.5
+            before = self.count_levels(built)
+            await asyncio.sleep(SECONDS)
+            told = self.count_levels(built) - before
+            # Ten a second to a relay, and twenty from it, and some between relays.
+            self.assertGreater(told, len(built.members))
+            self.assertLess(told, 32 * SECONDS * len(built.members))
+            for member in built.members:
+                instance = member.node.instance
+                now = asyncio.get_running_loop().time()
+                endpoints = instance.directory.find_endpoints("front")
+                level = instance._board.level("browse", endpoints, now)
+                self.assertAlmostEqual(level, 1.5, delta=0.05)
+
+        asyncio.run(self.play(SIZE, check))
+
+    def count_levels(self, built):
+        return sum(
+            sent.frames
+            for member in built.members
+            for sent in member.node.instance.traffic.list_sent()
+            if sent.kind in ("levels", "levelsum")
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/logservice/test_sources.py
+++ b/test/logservice/test_sources.py
@@ -26,11 +26,13 @@
 
 
 class SourcesTest(unittest.TestCase):
-    def test_one_reader_in_each_zone(self):
-        for size in (1, 4, 30, 100):
+    def test_one_reader_in_each_group_of_a_zone(self):
+        for size, groups in ((1, 1), (4, 1), (30, 1), (64, 1), (100, 2), (400, 8)):
             chosen = choose(build_mesh(3, size))
             readers = [address for address, each in chosen.items() if each.is_reader]
-            self.assertEqual(len(readers), 3, size)
+            self.assertEqual(len(readers), 3 * groups, size)
+            for address in readers:
+                self.assertEqual({address, *chosen[address].others}, set(readers))
             for address, each in chosen.items():
                 heard = {address, *each.wanted} & set(readers)
                 self.assertGreaterEqual(len(heard), 2)
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -6,10 +6,10 @@
 import unittest.mock
 
 from whinwinch import (
+    board,
     directory,
     events,
     forwarding,
-    levels,
     messages,
     placement,
     subsets,
@@ -65,7 +65,7 @@
             address = f"peer:{number}"
             known.record(address, Endpoint(address, address, "s", "z", "", 9))
             self.peers[address] = FakePeer(list(answers))
-        self.board = levels.Board()
+        self.board = board.Board()
         return forwarding.Forwarder(
             OWN,
             known,
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -25,6 +25,7 @@
 # waits for what runs on its behalf.
 ABSENT_SECONDS = 1.0
 TICK_SECONDS = 0.25
+LEVEL_KINDS = (frames.Levels, frames.LevelSum)
 
 
 class Done(NamedTuple):
@@ -113,6 +114,8 @@
             self._exchange.take_gossip(self, frame)
         elif isinstance(frame, frames.TOPIC_KINDS):
             self._exchange.take_topic(self.send, frame)
+        elif isinstance(frame, LEVEL_KINDS):
+            self._exchange.take_levels(self.address, frame)
 
 
 class Exchange:
@@ -131,6 +134,8 @@
             a function that sends a frame back.
         greet: Function that is told the `frames.Hello` of a daemon that has
             connected, and before it a function that sends a frame back.
+        take_levels: Function that is told the address of a daemon and one of
+            `LEVEL_KINDS`.
         counted: `traffic.Traffic` that is told what is sent.
     """
 
@@ -143,6 +148,7 @@
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
         greet=lambda reply, hello: None,
+        take_levels=lambda address, frame: None,
         counted=None,
     ):
         self._loop = asyncio.get_running_loop()
@@ -153,6 +159,7 @@
         self._admits = admits
         self.take_topic = take_topic
         self.greet = greet
+        self.take_levels = take_levels
         self._background = background.Background()
         self._callers = {}
         self._listener = None
@@ -174,11 +181,16 @@
         self.news = news
         self.tell_all(news)
 
-    def tell_all(self, frame):
-        """Send a message to all connected daemons."""
+    def tell_all(self, frame, wants=lambda address: True):
+        """Send a message to the connected daemons, or to those that want it."""
         data = frames.encode_frame(frame)
         for session in self.sessions:
-            session.write(type(frame), data)
+            if wants(session.address):
+                session.write(type(frame), data)
+
+    def find_addresses(self):
+        """Return the addresses of the connected daemons."""
+        return frozenset(session.address for session in self.sessions)
 
     def find_caller(self, daemon):
         """Return what is remembered of one start of another daemon."""
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from .. import messages
+from .. import board, messages
 from ..logservice import keyed
 
 # A request and its body, an answer and its body.
@@ -78,12 +78,10 @@
 
     Attributes:
         endpoint: The backend server; without a service while none is known.
-        version: Version of the configuration in force at the sender.
         entries: Names of the routes that callers are known to use.
     """
 
     endpoint: messages.Endpoint
-    version: int
     entries: tuple[str, ...] = ()
 
 
@@ -97,6 +95,19 @@
     levels: tuple[tuple[str, float], ...]
 
 
+class LevelSum(NamedTuple):
+    """Admission levels of many daemons, added up by a relay.
+
+    Attributes:
+        is_total: Whether of all daemons that the relay has heard of; else of those
+            that tell their levels to it.
+        cuts: `board.RouteCut` tuples.
+    """
+
+    is_total: bool
+    cuts: tuple[board.RouteCut, ...]
+
+
 class Gossip(NamedTuple):
     """A gossip message in its own encoding; the number is the sender's."""
 
@@ -160,6 +171,7 @@
     TopicEnd,
     TopicAsk,
     TopicRecords,
+    LevelSum,
 )
 TOPIC_KINDS = (TopicEnd, TopicAsk, TopicRecords)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
@@ -246,8 +258,11 @@
         values[_LOAD] = messages.Load(*values[_LOAD])
         return Reply(number, messages.Answer(*values))
     if kind is News:
-        endpoint, version, entries = fields
-        return News(messages.Endpoint(*endpoint), version, entries)
+        endpoint, entries = fields
+        return News(messages.Endpoint(*endpoint), entries)
+    if kind is LevelSum:
+        is_total, cuts = fields
+        return LevelSum(bool(is_total), tuple(_decode_cut(*cut) for cut in cuts))
     if kind in (TopicEnd, TopicAsk):
         topic, offset = fields
         return kind(_check_text(topic), _check_offset(offset))
@@ -268,6 +283,13 @@
     return keyed.Record(_check_text(key), value, _check_offset(offset))
 
 
+def _decode_cut(route, cuts):
+    whole = tuple(_check_offset(cut) for cut in cuts)
+    if len(whole) != len(board.NO_CUTS):
+        raise ValueError("a cut for each importance is wanted")
+    return board.RouteCut(_check_text(route), whole)
+
+
 def _check_text(text):
     if type(text) is not str:
         raise ValueError("must be a text")
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -28,7 +28,7 @@
         peers: `daemons.links.Peers`.
         guard: `backends.guard.Guard` of the own backend server.
         placement: `placement.Placement`.
-        board: `levels.Board`.
+        board: `board.Board`.
     """
 
     def __init__(self, own, directory, preferences, peers, guard, placement, board):
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -22,9 +22,9 @@
     subsets,
 )
 from .backends.guard import Backend, Guard
+from .board import Board
 from .daemons import exchange, frames, links, topics, traffic
 from .forwarding import Forwarder
-from .levels import Board
 from .logservice import sources
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
@@ -37,9 +37,10 @@
 CALLERS_WAIT_SHARE = 0.5
 # Where a route states no objective.
 USUAL_OBJECTIVE = 1.0
-# Between two tellings of levels. Four hops add up to two of these at the mean; a
-# telling costs 20 us and is left out while nothing is refused.
+# Between two tellings of levels; left out while nothing is refused.
 TELL_SECONDS = 0.1
+# Between two sums of a relay, short since it adds to the age of what it passes on.
+RELAY_SECONDS = 0.05
 # After the signal callers need about two seconds to be sent elsewhere; until
 # then each is served, and told to open its next connection to another daemon.
 STOP_LINGER = 2.2
@@ -118,6 +119,7 @@
             _refuse_forgotten,
             take_topic=self._take_topic,
             greet=self._greet,
+            take_levels=self._take_levels,
             counted=self.traffic,
         )
         self.topics = topics.Topics(self._tell_all)
@@ -164,7 +166,6 @@
         self._service_routes = _group_by_service(table.routes)
         timeouts = [r.timeout for r in table.routes if math.isfinite(r.timeout)]
         self.graph.horizon = self._started + max(timeouts, default=0.0)
-        self._publish()
         return True
 
     def find_table_age(self, now):
@@ -274,9 +275,7 @@
         """Tell the daemons that are connected, and the own directory."""
         self.directory.tell(self.place.address, self.endpoint)
         self.exchange.tell(
-            frames.News(
-                self.endpoint, self.table.version, tuple(sorted(self.graph.entries))
-            )
+            frames.News(self.endpoint, tuple(sorted(self.graph.entries)))
         )
 
     def _find_parent(self, request, connection, expires):
@@ -300,8 +299,8 @@
 
     def _take_news(self, address, news):
         """Take what another daemon tells of itself."""
-        if isinstance(news, frames.Levels):
-            self._board.tell(address, news.levels, self._loop.time())
+        if isinstance(news, frames.LevelSum):
+            self._take_levels(address, news)
             return
         if isinstance(news, frames.TOPIC_KINDS):
             self._take_topic(self.peers.find(address).tell, news)
@@ -314,17 +313,50 @@
         objective = route.objective if route is not None else USUAL_OBJECTIVE
         return (WAIT_SHARE if request.via else CALLERS_WAIT_SHARE) * objective
 
+    def _take_levels(self, address, frame):
+        """Take levels of one daemon, or of those that a relay speaks for."""
+        now = self._loop.time()
+        if isinstance(frame, frames.Levels):
+            self._board.tell(address, frame.levels, now)
+        elif frame.is_total:
+            self._board.tell_total(frame.cuts, now)
+        else:
+            self._board.tell_sum(address, frame.cuts, now)
+
     async def keep_levels(self):
-        """Tell the connected daemons the levels of the own routes, for ever."""
+        """Tell the relay the levels of the own routes, for ever."""
         told = ()
         while True:
             await asyncio.sleep(TELL_SECONDS)
             levels = tuple(self.list_levels())
             if levels or told:
-                self.exchange.tell_all(frames.Levels(levels))
                 self._board.tell(self.place.address, levels, self._loop.time())
+                self.peers.find(self._sources.reader).tell(frames.Levels(levels))
             told = levels
 
+    async def keep_relay(self):
+        """As the relay of a zone add up its levels and tell them, for ever."""
+        told = ()
+        while True:
+            await asyncio.sleep(RELAY_SECONDS)
+            cuts = self._relay_levels(told) if self.is_reader() else ()
+            told = cuts
+
+    def _relay_levels(self, told):
+        """Tell the sums of levels; return those of all daemons.
+
+        Args:
+            told: What was returned the time before. Zeros are told once.
+        """
+        now = self._loop.time()
+        own, total = self._board.add_up(now), self._board.add_up_all(now)
+        if total or told:
+            for address in self._sources.others:
+                self.peers.find(address).tell(frames.LevelSum(False, own))
+            self.exchange.tell_all(frames.LevelSum(True, total), self._is_near)
+            self._board.tell_total(total, now)
+        return total
+
     def is_reader(self):
         """Return whether this daemon reads the log for others."""
         return self._sources.is_reader
@@ -336,7 +368,7 @@
             if self.directory.everyone is not listed:
                 listed = self.directory.everyone
                 ranks = sources.Ranks(self.place.address, self.place.zone, listed)
-            self._sources = ranks.choose(self._is_up)
+            self._sources = ranks.choose(self._is_up, self.exchange.find_addresses)
             for address in self._sources.wanted:
                 self.peers.find(address).keep()
             for address in self.peers.drop_unused(self._loop.time()):
@@ -354,6 +386,9 @@
     def _is_far(self, address):
         return self.directory.find_zone(address) not in ("", self.place.zone)
 
+    def _is_near(self, address):
+        return self.directory.find_zone(address) == self.place.zone
+
     def _is_up(self, address):
         return self.peers.find(address).is_up
 
--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -16,7 +16,6 @@
 """
 
 import collections
-import math
 
 from . import gate, hints, messages
 
@@ -32,9 +31,6 @@
 MOST_TRACKS = 2048
 # Long enough to hear of flows that give one answer in a hundred.
 LOWEST_SECONDS = 1.0
-# Levels are told every tenth of a second; one that missed four of these tellings
-# is no longer believed.
-TOLD_SECONDS = 0.5
 # More than chance makes the levels at two hops differ.
 PASSED_MARGIN = 0.2
 
@@ -181,62 +177,6 @@
         return track
 
 
-class Board:
-    """Levels that daemons tell of the routes which their backend servers serve.
-
-    Load pattern: requests that take a second meet a service that has just become
-    full, four hops down. Learnt from answers, the level comes back with requests
-    that were let in a second ago; it swings between all and nothing, and most of
-    what is let in fails. Told by each daemon to those connected with it, it is at
-    the entry a few tenths of a second later, whether answers come or not.
-    """
-
-    def __init__(self):
-        self._told = {}
-
-    def tell(self, address, levels, now):
-        """Take what the daemon of an address tells.
-
-        Args:
-            address: Its address.
-            levels: Pairs of a route's name and its level, 0 left out.
-            now: Time of the loop's clock in seconds.
-        """
-        self._told[address] = (now, dict(levels))
-
-    def level(self, route, endpoints, now):
-        """Return the level of a route over the endpoints of a service.
-
-        Args:
-            route: Name of the route.
-            endpoints: `messages.Endpoint` tuples; one that tells nothing admits
-                everything.
-            now: Time of the loop's clock in seconds.
-        """
-        levels = [self._find_told(e.address, route, now) for e in endpoints]
-        return combine_levels(levels)
-
-    def _find_told(self, address, route, now):
-        """Return the level that one daemon tells of a route, 0 for nothing new."""
-        time, levels = self._told.get(address, (-math.inf, {}))
-        return levels.get(route, 0.0) if now - time < TOLD_SECONDS else 0.0
-
-
-def combine_levels(levels):
-    """Return one level that admits about what several endpoints admit together.
-
-    Counted in the importance that is cut at the highest of them. As a plain mean
-    of 0 and 1.9 all requests of importance 1 would be let in, though one of two
-    endpoints has room for a tenth of its share only.
-    """
-    highest = max(levels, default=0.0)
-    if highest <= 0.0:
-        return 0.0
-    base = math.ceil(highest) - 1
-    cut = sum(min(max(level - base, 0.0), 1.0) for level in levels)
-    return base + cut / len(levels)
-
-
 def refuse_below(request, level):
     """Refuse a request whose rank is below a level, or return None.
 
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -182,6 +182,7 @@
             instance.peers.keep,
             instance.exchange.keep,
             instance.keep_levels,
+            instance.keep_relay,
             instance.keep_load_lines,
             instance.keep_sources,
         )
