Share what is known of calls, and keep it in the store

Cause: which requests call which routes is learnt by each daemon from its own traffic; a daemon beside a service of 60 endpoints sees two or three requests a second, so for one to two seconds it doesn't know which levels concern it, and tells none to the entries.

Now daemons tell their relay what they have seen often enough, the relay tells its zone and the other relays, and one reader keeps it in the store's topic of daemons, which each reads at its start anyway. What was told counts as the first three sights: own sights that differ outweigh it (test: a wrong one dies out). It replaces the list of entries in the news of backend servers.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -102,9 +102,9 @@
             self.refuse,
             self.answer_gossip,
             self.admits,
-            take_levels=lambda *told: self.levels.append(told),
+            take_relayed=lambda *told: self.levels.append(told),
         )
-        self.called.news = frames.News(Endpoint("x", "x", "s"), ("c",))
+        self.called.news = frames.News(Endpoint("x", "x", "s"))
         self.port = await self.called.listen("127.0.0.1", port)
         self.forgetting = asyncio.create_task(self.called.keep())
 
@@ -357,13 +357,12 @@
 
     async def test_news_and_levels(self):
         await self.peer.call(build_request(1))
-        self.called.tell(frames.News(Endpoint("x", "x", "s", leaving=True), ("c", "d")))
+        self.called.tell(frames.News(Endpoint("x", "x", "s", leaving=True)))
         cuts = (board.RouteCut("c", (1000, 500, 0, 0)),)
         self.called.tell_all(frames.LevelSum(True, cuts))
         await self.wait_until(lambda: len(self.told) == 3)
-        entries = [news.entries for _, news in self.told[:2]]
-        self.assertEqual(entries, [("c",), ("c", "d")])
-        self.assertTrue(self.told[1][1].endpoint.leaving)
+        leaving = [news.endpoint.leaving for _, news in self.told[:2]]
+        self.assertEqual(leaving, [False, True])
         self.assertEqual(self.told[2][1], frames.LevelSum(True, cuts))
 
     async def test_levels_told_by_a_caller(self):
--- a/test/emulator/test_mesh.py
+++ b/test/emulator/test_mesh.py
@@ -367,3 +367,27 @@
             status = await stranger.tell("PUT", json.dumps(beat).encode())
             self.assertEqual(status, 400)
         self.assertTrue(all(t.whole for t in await self.ask(STATUS, 6)))
+
+    async def test_calls_are_known_after_power_was_lost_on_all(self):
+        """All daemons lose power and come back, and callers with them.
+
+        A daemon that doesn't know yet which requests call a full service lets all of
+        them in, and they fail half way.
+        """
+        for _ in range(6):
+            await self.ask(BROWSE, 6)
+        records = self.mesh.store.find("keyed.instances").newest
+        names = ('["browse", "index"]', '["index", "queue"]', '"entries": ["browse"')
+        await self.mesh.wait_until(
+            lambda: all(n in str(records.get("calls")) for n in names)
+        )
+        for member in tuple(self.mesh.members):
+            await self.mesh.kill(member)
+        for member in tuple(self.mesh.members):
+            await self.mesh.start_again(member)
+        await self.mesh.wait_until(self.mesh.is_complete)
+        for member in self.mesh.members:
+            graph = member.node.instance.graph
+            self.assertEqual(graph.find_children("browse"), {"index"})
+            self.assertEqual(graph.find_children("index"), {"queue"})
+            self.assertTrue(graph.is_entry("browse"))
--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -45,7 +45,7 @@
 
     def test_route_that_both_use_makes_no_connection_a_callers(self):
         """The own server calls a route that callers use too, on its connection."""
-        self.graph.learn_entries(("status",))
+        self.graph.learn(callgraph.Facts(("status",)))
         self.graph.start("a", run("index", 2.0), 0.0)
         for _ in range(9):
             self.graph.observe("status", OWN, 0.6, 0.0)
@@ -60,6 +60,41 @@
         self.graph.observe("index", OWN, 5.0, 0.0)
         self.assertFalse(self.graph.is_entry("index"))
 
+    def test_what_others_told_is_known_at_once(self):
+        """All daemons lose power, and the deepest service is short of room at once.
+
+        Until each has learnt anew which requests call it, all are let in, and fail.
+        """
+        edge = callgraph.Edge("browse", "index")
+        self.graph.learn(callgraph.Facts(("browse",), (edge,)))
+        self.assertTrue(self.graph.is_entry("browse"))
+        self.assertEqual(self.graph.find_children("browse"), {"index"})
+        facts = callgraph.Facts(("browse",), (edge,))
+        self.assertEqual(self.graph.list_facts(), facts)
+
+    def test_what_others_told_wrongly_dies_out(self):
+        """Another daemon took chance meetings of deadlines for calls.
+
+        Believed for ever, requests would be refused for a load they never meet.
+        """
+        self.graph.learn(callgraph.Facts((), (callgraph.Edge("browse", "index"),)))
+        for number in range(100):
+            self.graph.start("p", run("pay", 5.0 + number), 0.0)
+            self.graph.begin_call("index", OWN, 5.0 + number, 0.0)
+            self.graph.end("p")
+        self.graph.learn(callgraph.Facts((), (callgraph.Edge("browse", "index"),)))
+        self.assertEqual(self.graph.find_children("browse"), frozenset())
+        self.assertEqual(self.graph.find_children("pay"), {"index"})
+
+    def test_few_sights_are_told_to_nobody(self):
+        for number in range(callgraph.TOLD_SIGHTS):
+            self.assertEqual(self.graph.list_facts().calls, ())
+            self.graph.start("p", run("pay", 5.0 + number), 0.0)
+            self.graph.begin_call("index", OWN, 5.0 + number, 0.0)
+            self.graph.end("p")
+        edges = (callgraph.Edge("pay", "index"),)
+        self.assertEqual(self.graph.list_facts().calls, edges)
+
     def test_few_sights_among_many_calls_prove_nothing(self):
         self.graph.start("a", run("browse", 5.0), 0.0)
         for _ in range(100):
@@ -101,7 +136,7 @@
         for _ in range(callgraph.SURE_SIGHTS):
             self.graph.begin_call("status", OWN, 1.0, 0.0)
         self.assertEqual(self.graph.find_children("browse"), {"status"})
-        self.graph.learn_entries(("status",))
+        self.graph.learn(callgraph.Facts(("status",)))
         self.assertEqual(self.graph.find_children("browse"), frozenset())
 
 
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -53,6 +53,9 @@
 MORE_CALLS = 0.5
 # Until this many times the usual delay has passed a first call may still come.
 YOUNG_DELAYS = 4.0
+# Sights of a call from which on other daemons are told of it. What one takes wrongly
+# for a call misleads it alone; told, it would mislead all.
+TOLD_SIGHTS = 10
 # Routes remembered at most; a configuration has some dozens.
 MOST_ROUTES = 1024
 # Connections of callers remembered at most, some 100 bytes each.
@@ -60,6 +63,25 @@
 _NO_PARENTS = {}
 
 
+class Edge(NamedTuple):
+    """Requests of one route make calls of another."""
+
+    parent: str
+    child: str
+
+
+class Facts(NamedTuple):
+    """What a daemon can tell others of routes.
+
+    Attributes:
+        entries: Names of the routes that callers use.
+        calls: `Edge` tuples.
+    """
+
+    entries: tuple[str, ...] = ()
+    calls: tuple[Edge, ...] = ()
+
+
 class Running(NamedTuple):
     """A request inside the own backend server; times in the loop's seconds."""
 
@@ -176,6 +198,8 @@
         self._proofs = collections.OrderedDict()
         self._entries = set()
         self._parents = {}
+        # `Edge` tuples that others told.
+        self._told = set()
         self._longest = {}
         self._habits = collections.OrderedDict()
         # By connection: the run whose call was answered last on it, and when.
@@ -215,10 +239,29 @@
         if not answered:
             heapq.heappush(self._given_up, deadline)
 
-    def learn_entries(self, names):
-        """Take routes that other daemons know callers to use."""
+    def list_facts(self):
+        """Return the `Facts` that were seen here or told by others."""
+        seen = {
+            Edge(parent, child)
+            for child, parents in self._parents.items()
+            for parent, sights in parents.items()
+            if sights >= TOLD_SIGHTS and _is_parent(parents, parent)
+        }
+        return Facts(tuple(sorted(self._entries)), tuple(sorted(seen | self._told)))
+
+    def learn(self, facts):
+        """Take the `Facts` of another daemon.
+
+        They stand for the first sights here: what is seen here goes against them where
+        it differs.
+        """
         if len(self._entries) < MOST_ROUTES:
-            self._entries.update(names)
+            self._entries.update(facts.entries)
+        for edge in facts.calls:
+            if edge in self._told or len(self._told) >= MOST_ROUTES:
+                continue
+            self._told.add(edge)
+            self._note_child(edge.parent, edge.child, SURE_SIGHTS)
 
     def observe(self, route, connection, deadline, now):
         """Take the arrival of a request or call.
@@ -438,15 +481,15 @@
         fitting = [run for run in possible if _is_parent(parents, run.request.route)]
         return fitting or possible
 
-    def _note_child(self, parent, route):
-        """Note a call that requests of no other route are likely to have made."""
+    def _note_child(self, parent, route, sights=1):
+        """Note calls that requests of no other route are likely to have made."""
         parents = self._parents.get(route)
         if parents is None:
             if len(self._parents) >= MOST_ROUTES:
                 return
             parents = self._parents[route] = collections.Counter()
         if parent in parents or len(parents) < MOST_ROUTES:
-            parents[parent] += 1
+            parents[parent] += sights
 
 
 def _is_parent(parents, route):
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -25,7 +25,8 @@
 # waits for what runs on its behalf.
 ABSENT_SECONDS = 1.0
 TICK_SECONDS = 0.25
-LEVEL_KINDS = (frames.Levels, frames.LevelSum)
+# What daemons tell a relay, and relays each other.
+RELAYED_KINDS = (frames.Levels, frames.LevelSum, frames.Graph)
 
 
 class Done(NamedTuple):
@@ -114,8 +115,8 @@
             self._exchange.take_gossip(self, frame)
         elif isinstance(frame, frames.TOPIC_KINDS):
             self._exchange.take_topic(self.send, frame)
-        elif isinstance(frame, LEVEL_KINDS):
-            self._exchange.take_levels(self.address, frame)
+        elif isinstance(frame, RELAYED_KINDS):
+            self._exchange.take_relayed(self.address, frame)
 
 
 class Exchange:
@@ -134,8 +135,8 @@
             a function that sends a frame back.
         greet: Function that is told the `frames.Hello` of a daemon that has
             connected, and before it a function that sends a frame back.
-        take_levels: Function that is told the address of a daemon and one of
-            `LEVEL_KINDS`.
+        take_relayed: Function that is told the address of a daemon and one of
+            `RELAYED_KINDS`.
         counted: `traffic.Traffic` that is told what is sent.
     """
 
@@ -148,7 +149,7 @@
         admits=lambda token: True,
         take_topic=lambda reply, frame: None,
         greet=lambda reply, hello: None,
-        take_levels=lambda address, frame: None,
+        take_relayed=lambda address, frame: None,
         counted=None,
     ):
         self._loop = asyncio.get_running_loop()
@@ -159,7 +160,7 @@
         self._admits = admits
         self.take_topic = take_topic
         self.greet = greet
-        self.take_levels = take_levels
+        self.take_relayed = take_relayed
         self._background = background.Background()
         self._callers = {}
         self._listener = None
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from .. import board, messages
+from .. import board, callgraph, messages
 from ..logservice import keyed
 
 # A request and its body, an answer and its body.
@@ -78,11 +78,9 @@
 
     Attributes:
         endpoint: The backend server; without a service while none is known.
-        entries: Names of the routes that callers are known to use.
     """
 
     endpoint: messages.Endpoint
-    entries: tuple[str, ...] = ()
 
 
 class Levels(NamedTuple):
@@ -108,6 +106,12 @@
     cuts: tuple[board.RouteCut, ...]
 
 
+class Graph(NamedTuple):
+    """What is known of the calls that requests make."""
+
+    facts: callgraph.Facts
+
+
 class Gossip(NamedTuple):
     """A gossip message in its own encoding; the number is the sender's."""
 
@@ -172,6 +176,7 @@
     TopicAsk,
     TopicRecords,
     LevelSum,
+    Graph,
 )
 TOPIC_KINDS = (TopicEnd, TopicAsk, TopicRecords)
 _NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
@@ -258,8 +263,11 @@
         values[_LOAD] = messages.Load(*values[_LOAD])
         return Reply(number, messages.Answer(*values))
     if kind is News:
-        endpoint, entries = fields
-        return News(messages.Endpoint(*endpoint), entries)
+        (endpoint,) = fields
+        return News(messages.Endpoint(*endpoint))
+    if kind is Graph:
+        ((entries, calls),) = fields
+        return Graph(_decode_facts(entries, calls))
     if kind is LevelSum:
         is_total, cuts = fields
         return LevelSum(bool(is_total), tuple(_decode_cut(*cut) for cut in cuts))
@@ -283,6 +291,11 @@
     return keyed.Record(_check_text(key), value, _check_offset(offset))
 
 
+def _decode_facts(entries, calls):
+    edges = [callgraph.Edge(*map(_check_text, call)) for call in calls]
+    return callgraph.Facts(tuple(map(_check_text, entries)), tuple(edges))
+
+
 def _decode_cut(route, cuts):
     whole = tuple(_check_offset(cut) for cut in cuts)
     if len(whole) != len(board.NO_CUTS):
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -47,7 +47,7 @@
 # The called side answers by the deadline; its answer may travel a little longer.
 ANSWER_SECONDS = 0.1
 # What a daemon tells those connected with it, besides answers.
-TOLD = (frames.News, frames.LevelSum, *frames.TOPIC_KINDS)
+TOLD = (frames.News, frames.LevelSum, frames.Graph, *frames.TOPIC_KINDS)
 
 
 class Pending(NamedTuple):
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -47,6 +47,10 @@
 # Time kept free at the end of the time allowed for a stop.
 STOP_RESERVE = 0.4
 STOP_TICK = 0.02
+# Between two looks at what is known of calls, and until it is told once more, to those
+# that have connected since.
+GRAPH_SECONDS = 0.25
+GRAPH_REPEAT_SECONDS = 2.0
 # Between two looks at who reads the log: as soon as one that read is out of reach
 # another one should.
 SOURCES_SECONDS = 0.1
@@ -119,7 +123,7 @@
             _refuse_forgotten,
             take_topic=self._take_topic,
             greet=self._greet,
-            take_levels=self._take_levels,
+            take_relayed=self._take_relayed,
             counted=self.traffic,
         )
         self.topics = topics.Topics(self._tell_all)
@@ -199,10 +203,7 @@
             expires: When the caller stops waiting, whatever the route says.
             connection: Number of the connection that it came on.
         """
-        known = self.graph.is_entry(route.name)
         parent = self._find_parent(request, connection, expires)
-        if not known and self.graph.is_entry(route.name):
-            self._publish()
         if parent is None:
             return await self.forwarder.serve(request, route.most_endpoints)
         try:
@@ -274,9 +275,7 @@
     def _publish(self):
         """Tell the daemons that are connected, and the own directory."""
         self.directory.tell(self.place.address, self.endpoint)
-        self.exchange.tell(
-            frames.News(self.endpoint, tuple(sorted(self.graph.entries)))
-        )
+        self.exchange.tell(frames.News(self.endpoint))
 
     def _find_parent(self, request, connection, expires):
         """Return the `callgraph.Parent` of a call, None for a caller's request."""
@@ -299,24 +298,25 @@
 
     def _take_news(self, address, news):
         """Take what another daemon tells of itself."""
-        if isinstance(news, frames.LevelSum):
-            self._take_levels(address, news)
+        if isinstance(news, exchange.RELAYED_KINDS):
+            self._take_relayed(address, news)
             return
         if isinstance(news, frames.TOPIC_KINDS):
             self._take_topic(self.peers.find(address).tell, news)
             return
         self.directory.tell(address, news.endpoint)
-        self.graph.learn_entries(news.entries)
 
     def _find_wait(self, request):
         route = self._routes.get(request.call)
         objective = route.objective if route is not None else USUAL_OBJECTIVE
         return (WAIT_SHARE if request.via else CALLERS_WAIT_SHARE) * objective
 
-    def _take_levels(self, address, frame):
-        """Take levels of one daemon, or of those that a relay speaks for."""
+    def _take_relayed(self, address, frame):
+        """Take what one daemon tells its relay, or a relay others."""
         now = self._loop.time()
-        if isinstance(frame, frames.Levels):
+        if isinstance(frame, frames.Graph):
+            self.graph.learn(frame.facts)
+        elif isinstance(frame, frames.Levels):
             self._board.tell(address, frame.levels, now)
         elif frame.is_total:
             self._board.tell_total(frame.cuts, now)
@@ -357,6 +357,34 @@
             self._board.tell_total(total, now)
         return total
 
+    async def keep_graph(self):
+        """Tell what is known of calls, through the relay, for ever.
+
+        A daemon that has just started knows which calls a level concerns before it
+        has seen any.
+        """
+        told, repeat = None, 0.0
+        while True:
+            await asyncio.sleep(GRAPH_SECONDS)
+            facts, reader = self.graph.list_facts(), self._sources.reader
+            now = self._loop.time()
+            if (facts, reader) != told or now >= repeat:
+                self._tell_graph(frames.Graph(facts))
+                told, repeat = (facts, reader), now + GRAPH_REPEAT_SECONDS
+
+    def _tell_graph(self, frame):
+        if not self.is_reader():
+            self.peers.find(self._sources.reader).tell(frame)
+            return
+        for address in self._sources.others:
+            self.peers.find(address).tell(frame)
+        self.exchange.tell_all(frame, self._is_near)
+
+    @property
+    def reader_place(self):
+        """Place of the own group of daemons among all that have a reader each."""
+        return self._sources.place
+
     def is_reader(self):
         """Return whether this daemon reads the log for others."""
         return self._sources.is_reader
--- a/whinwinch/logservice/sources.py
+++ b/whinwinch/logservice/sources.py
@@ -33,12 +33,14 @@
         wanted: Addresses of the daemons that it should be connected with.
         reader: Address of the daemon that reads for it, which may be itself.
         others: For one that reads, addresses of those that read for the others.
+        place: Place of the own group among all.
     """
 
     is_reader: bool
     wanted: tuple[str, ...]
     reader: str = ""
     others: tuple[str, ...] = ()
+    place: int = 0
 
 
 class Group(NamedTuple):
@@ -73,6 +75,7 @@
         ]
         (mine,) = (n for n, group in enumerate(groups) if own in group.addresses)
         self._near = groups[mine].addresses
+        self._place = mine
         # Those of the next zone lose power apart from the own ones.
         self._rest = [g.addresses for g in groups[mine + 1 :] + groups[:mine]]
         self._far = _find_far(groups, mine)
@@ -103,7 +106,7 @@
             visited = (*itertools.chain(*walks), *lost)
         wanted = dict.fromkeys((*near, *other, *visited))
         wanted.pop(self._own, None)
-        return Sources(is_reader, tuple(wanted), reader, others)
+        return Sources(is_reader, tuple(wanted), reader, others, self._place)
 
     def _find_lost(self, is_linked):
         """Return daemons that this one reads for and that are out of reach.
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -12,6 +12,7 @@
 from .. import events, gauges, messages
 from ..announcements import Announcements, State
 from ..backends.guard import Backend, Dialect
+from ..callgraph import Edge, Facts
 from ..errors import InputErrors, UserError
 from ..http1.messages import HttpResponse
 from ..http1.server import Limits, Server
@@ -25,6 +26,12 @@
 CONFIGURATION_KEY = "config"
 # Topic in which daemons introduce themselves to those that never met them.
 INSTANCES_TOPIC = "keyed.instances"
+# Key in that topic of what is known of calls; all others are addresses.
+GRAPH_KEY = "calls"
+# Between two looks at whether the store holds what is known of calls, and between two
+# readers' turns to write it.
+GRAPH_RECORD_SECONDS = 1.0
+GRAPH_TURN_SECONDS = 3.0
 READINESS_PATH = "/whinwinch/ready"
 METRICS_PATH = "/metrics"
 ANNOUNCEMENT_PREFIX = "/whinwinch/instances/"
@@ -79,6 +86,8 @@
         self._settings = given
         self._store = Store(given.store)
         self._announcements = Announcements()
+        # What the store holds of calls.
+        self._recorded = Facts()
         self.instance = Instance(
             Place(str(given.daemons), given.zone, given.region),
             given.backend,
@@ -183,6 +192,8 @@
             instance.exchange.keep,
             instance.keep_levels,
             instance.keep_relay,
+            instance.keep_graph,
+            self._keep_graph_record,
             instance.keep_load_lines,
             instance.keep_sources,
         )
@@ -304,6 +315,9 @@
 
     def _take_instances(self, records):
         for record in records:
+            if record.key == GRAPH_KEY:
+                self._take_graph(record.value)
+                continue
             try:
                 endpoint = decode_endpoint(record.key, record.value)
             except ValueError as error:
@@ -332,6 +346,53 @@
                     await asyncio.sleep(RECORD_PAUSE)
                     self._changed.set()
 
+    def _take_graph(self, value):
+        try:
+            facts = decode_facts(value)
+        except ValueError as error:
+            events.write("record-unread", events.Message(f"{GRAPH_KEY}: {error}"))
+            return
+        self._recorded = facts
+        self.instance.graph.learn(facts)
+
+    async def _keep_graph_record(self):
+        """As a reader keep what is known of calls in the store.
+
+        When all daemons lose power together, they know it again as they start.
+        """
+        instance, loop = self.instance, asyncio.get_running_loop()
+        due = None
+        while True:
+            await asyncio.sleep(GRAPH_RECORD_SECONDS)
+            facts = self._find_unrecorded()
+            if not instance.is_reader() or facts is None:
+                due = None
+                continue
+            if due is None:
+                # One of the readers writes; the next ones if it doesn't.
+                due = loop.time() + instance.reader_place * GRAPH_TURN_SECONDS
+            if loop.time() < due:
+                continue
+            record = keyed.Record(GRAPH_KEY, encode_facts(facts))
+            try:
+                await self._store.append(INSTANCES_TOPIC, record)
+                self._recorded = facts
+            except StoreError as error:
+                events.write("record-not-written", events.Message(str(error)))
+
+    def _find_unrecorded(self):
+        """Return the `Facts` on present routes if some aren't in the store, or None."""
+        if not self._records.copy.is_known:
+            return None
+        known = self.instance.graph.list_facts()
+        routes = {route.name for route in self.instance.table.routes}
+        entries = tuple(name for name in known.entries if name in routes)
+        calls = tuple(edge for edge in known.calls if routes.issuperset(edge))
+        is_recorded = set(entries) <= set(self._recorded.entries)
+        if is_recorded and set(calls) <= set(self._recorded.calls):
+            return None
+        return Facts(entries, calls)
+
     async def _withdraw_record(self):
         """Take the own record out of the store, so that nobody starts with it."""
         record = keyed.Record(self.instance.place.address, b"")
@@ -387,6 +448,31 @@
     return endpoint
 
 
+def encode_facts(facts):
+    """Return the value of the record of what is known of calls."""
+    return json.dumps(facts._asdict()).encode()
+
+
+def decode_facts(value):
+    """Return the `Facts` of a record's value.
+
+    Raises:
+        ValueError: When it is no such record.
+    """
+    fields = json.loads(value)
+    if not isinstance(fields, dict):
+        raise ValueError("must be a table")
+    entries, calls = fields.get("entries"), fields.get("calls")
+    if not isinstance(entries, list) or not isinstance(calls, list):
+        raise ValueError("entries and calls must be lists")
+    for names in (entries, *calls):
+        if not isinstance(names, list) or not all(isinstance(n, str) for n in names):
+            raise ValueError("must hold names of routes")
+    if any(len(names) != len(Edge._fields) for names in calls):
+        raise ValueError("a call has a parent and a child")
+    return Facts(tuple(entries), tuple(Edge(*names) for names in calls))
+
+
 def run():
     """Run the daemon of this instance; return the exit code."""
     given = settings.read_file()
