Let the own zone carry what its slots do

Cause: of one endpoint of the own zone and one of another the choice took the other for half a slot's load less, and load is weighed by latency: an endpoint of half the speed lost to other zones when a quarter of its slots were in use.

Now two of the own zone and one of the others are drawn, and another zone is worth three quarters of the slots. A play of six endpoints that differ in speed by three (test_own_zone_carries_what_its_slots_do): calls that cross at half load 0.42 -> 0.10; at twice the load 0.58 still go elsewhere.

At a whole load test_own_availability_zone_goes_first_while_it_is_as_good fails, which wants callers sent away at eight of ten slots; so three quarters.

--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,6 +1,7 @@
 """Tests of the choice of an endpoint."""
 
 import collections
+import heapq
 import random
 import unittest
 
@@ -10,6 +11,8 @@
     messages.Endpoint(f"d{i}", f"10.0.0.{i}:1", "catalog", "a", "r", 10)
     for i in range(4)
 )
+# Of endpoints in zones a, a, b, b, c, c, in seconds.
+LATENCIES = (0.2, 0.07, 0.1, 0.1, 0.1, 0.1)
 REQUEST = messages.Request(
     "x", "x", "catalog", "list", "GET", "/", messages.Importance.NORMAL, 10.0
 )
@@ -34,6 +37,41 @@
     return chosen
 
 
+def play_zones(load, seconds=30.0):
+    """Return the share of calls that cross zones.
+
+    Args:
+        load: Calls, for what the own zone's two endpoints carry.
+        seconds: How long the play lasts.
+    """
+    draw = random.Random(5)
+    place = placement.Placement("a", draw)
+    endpoints = [
+        messages.Endpoint(f"d{i}", f"10.0.0.{i}:1", "catalog", zone, "r", 10)
+        for i, zone in enumerate("aabbcc")
+    ]
+    latencies = dict(zip("d0 d1 d2 d3 d4 d5".split(), LATENCIES, strict=True))
+    carried = sum(10 / latency for latency in LATENCIES[:2])
+    inside, ends = collections.Counter(), []
+    now, calls, crossed = 0.0, 0, 0
+    while now < seconds:
+        now += draw.expovariate(load * carried)
+        while ends and ends[0][0] <= now:
+            ended, number, daemon, started = heapq.heappop(ends)
+            inside[daemon] -= 1
+            told = messages.Load(in_service=inside[daemon], limit=10)
+            reply = answer(load=told)._replace(attempt=f"x{number}")
+            place.observe(daemon, reply, ended - started, ended, REQUEST)
+        chosen = place.choose(REQUEST, endpoints, now).endpoint
+        place.start(chosen.daemon, now, REQUEST._replace(attempt=f"x{calls}"))
+        inside[chosen.daemon] += 1
+        latency = latencies[chosen.daemon] * max(1.0, inside[chosen.daemon] / 10)
+        heapq.heappush(ends, (now + latency, calls, chosen.daemon, now))
+        calls += 1
+        crossed += chosen.zone != "a"
+    return crossed / calls
+
+
 class PlacementTest(unittest.TestCase):
     def test_spreads_over_equals(self):
         self.assertGreater(min(run({}, {}).values()), 150)
@@ -141,6 +179,18 @@
         choice = place.choose(REQUEST, (leaving, ENDPOINTS[1]), 0.0, frozenset({"d1"}))
         self.assertIsNone(choice.endpoint)
 
+    def test_own_zone_carries_what_its_slots_do(self):
+        """Endpoints differ in speed by three, as those of a press do.
+
+        Weighed by their latency alone the slow ones of the own zone lose to other
+        zones while their slots stand idle, and bytes between zones are dear.
+        """
+        self.assertLess(play_zones(0.5), 1 / 8)
+        self.assertLess(play_zones(0.7), 1 / 4)
+
+    def test_other_zones_help_when_the_own_is_full(self):
+        self.assertGreater(play_zones(2.0), 0.4)
+
     def test_prefers_own_zone_while_it_has_room(self):
         place = placement.Placement("a", random.Random(7))
         far = ENDPOINTS[1]._replace(zone="b")
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -7,8 +7,8 @@
 one that fails fastest; a choice of the very best by stale news sends all
 entries to the same one.
 
-Two endpoints are drawn at random, one of them in the own availability zone where
-there is one, and the one that costs less is taken, which avoids the herd. Cost is
+Two endpoints of the own availability zone and one of the others are drawn at random,
+and the one that costs least is taken, which avoids the herd. Cost is
 work in hand for the slots, from this daemon's own calls and from the load that
 answers carried. Endpoints whose answers were slow or failed, compared with the
 median of their peers, are set aside: they get a probe now and then, and never more
@@ -50,8 +50,8 @@
 # A refusal marks an endpoint as full for about this long.
 FULL_SECONDS = 0.25
 # Another zone costs a round trip more, and bytes between zones are dear: worth it
-# from this much more load on.
-ZONE_COST = 0.5
+# when most slots of the own zone are in use.
+ZONE_COST = 0.75
 DEPARTED_SECONDS = 60.0
 
 
@@ -167,11 +167,12 @@
         probe = self._choose_probe(aside)
         if probe is not None:
             return Choice(probe, "probe of one set aside")
-        first, second = self._draw(good)
-        costs = self._cost(first, now), self._cost(second, now)
-        chosen = first if costs[0] <= costs[1] else second
-        ground = f"cost {min(costs):.2f} of {costs[0]:.2f}, {costs[1]:.2f}"
-        return Choice(chosen, f"{ground}; {len(aside)} set aside")
+        drawn = self._draw(good)
+        costs = [self._cost(endpoint, now) for endpoint in drawn]
+        lowest = min(costs)
+        told = ", ".join(f"{cost:.2f}" for cost in costs)
+        ground = f"cost {lowest:.2f} of {told}; {len(aside)} set aside"
+        return Choice(drawn[costs.index(lowest)], ground)
 
     def find_usual(self, request):
         """Return the usual latency of a call in seconds, 0 while none is known."""
@@ -343,14 +344,15 @@
         return None
 
     def _draw(self, endpoints):
-        """Draw two endpoints: one of the own zone, if any, and one of the rest."""
+        """Draw two endpoints of the own zone and one of the rest, or two of those."""
         near = [e for e in endpoints if e.zone == self._zone]
         far = [e for e in endpoints if e.zone != self._zone]
-        if near and far:
-            return self._random.choice(near), self._random.choice(far)
-        if len(endpoints) == 1:
-            return endpoints[0], endpoints[0]
-        return self._random.sample(endpoints, 2)
+        if not near:
+            return self._draw_some(far, 2)
+        return self._draw_some(near, 2) + self._draw_some(far, 1)
+
+    def _draw_some(self, endpoints, count):
+        return self._random.sample(endpoints, min(count, len(endpoints)))
 
     def _cost(self, endpoint, now):
         """Return the load of an endpoint for its slots, and what adds to it."""
