Sort the known daemons once for many records

Now the next look after a change sorts. test_many_records_are_sorted_once counts one sorting for 500 records; 500 before.

--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -1,6 +1,7 @@
 """Tests of which backend servers a daemon knows."""
 
 import unittest
+import unittest.mock
 
 from whinwinch import directory
 from whinwinch.backends.guard import Backend
@@ -27,6 +28,22 @@
         self.assertEqual(self.directory.find_endpoints("s"), ())
         self.assertEqual(len(self.directory.find_endpoints("t")), 1)
 
+    def test_many_records_are_sorted_once(self):
+        """A daemon starts and takes in a record of every other one.
+
+        Sorted anew for each of thousands, they would keep it busy for half a minute.
+        """
+        with unittest.mock.patch.object(
+            directory, "sorted", side_effect=sorted, create=True
+        ) as sort:
+            for number in range(500):
+                address = f"h:{number}"
+                endpoint = ONE._replace(daemon=address, address=address)
+                self.directory.record(address, endpoint)
+            self.assertEqual(len(self.directory.find_endpoints("s")), 500)
+            self.assertEqual(len(self.directory.everyone), 500)
+        self.assertEqual(sort.call_count, 1)
+
     def test_withdrawn(self):
         self.directory.tell("h:1", ONE)
         self.directory.record("h:1", None)
--- a/whinwinch/directory.py
+++ b/whinwinch/directory.py
@@ -19,9 +19,17 @@
         self._own = own
         self._recorded = {}
         self._told = {}
+        # Made anew at the next look after a change: at its start a daemon takes in a
+        # record of every other one.
+        self._is_stale = False
         self._services = {}
-        # `Endpoint` tuples of all daemons known; a new tuple after each change.
-        self.everyone = ()
+        self._everyone = ()
+
+    @property
+    def everyone(self):
+        """`Endpoint` tuples of all daemons known; a new tuple after a change."""
+        self._refresh()
+        return self._everyone
 
     def record(self, address, endpoint):
         """Take a record of the log.
@@ -39,13 +47,13 @@
             if before is not None and before.service != endpoint.service:
                 # Another instance has got the address.
                 self._told.pop(address, None)
-        self._rebuild()
+        self._is_stale = True
 
     def tell(self, address, endpoint):
         """Take what a daemon says of its backend server over its connection."""
         if self._told.get(address) != endpoint:
             self._told[address] = endpoint
-            self._rebuild()
+            self._is_stale = True
 
     def forget_told(self, address):
         """Forget what a daemon told that has started anew since.
@@ -53,10 +61,11 @@
         It may have said that it leaves; now only its record speaks for it.
         """
         if self._told.pop(address, None) is not None:
-            self._rebuild()
+            self._is_stale = True
 
     def find_endpoints(self, service):
         """Return the endpoints of a service, the leaving ones left out."""
+        self._refresh()
         return self._services.get(service, ())
 
     def find_recorded(self, address):
@@ -74,14 +83,17 @@
         known = self._recorded.keys() | self._told.keys()
         return known - {self._own}
 
-    def _rebuild(self):
+    def _refresh(self):
+        if not self._is_stale:
+            return
+        self._is_stale = False
         services, everyone = {}, []
         for address in sorted(self._recorded.keys() | self._told.keys()):
             endpoint = self._told.get(address) or self._recorded[address]
             everyone.append(endpoint)
             if endpoint.service and not endpoint.leaving:
                 services.setdefault(endpoint.service, []).append(endpoint)
-        self.everyone = tuple(everyone)
+        self._everyone = tuple(everyone)
         self._services = {name: tuple(listed) for name, listed in services.items()}
 
 
