Keep sums of service times, and list refusals, in one place each

The test of a trial hands in jobs of the same mean and spread as the sums it gave before. No behaviour changes.

--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -100,6 +100,10 @@
         orders = []
         for seconds in (0.10, 0.11, 0.11, 0.10):
             orders.append(trial.limit)
-            trial.add(20, 20 * seconds, 20 * 2.0 * seconds**2)
+            times = limits.Times()
+            # As spread as jobs of exponential length.
+            for each in (0.0, 2.0 * seconds) * 10:
+                times.add(each)
+            trial.add(times)
         self.assertEqual(orders, [25, 27, 27, 25])
         self.assertIsNone(trial.decide())
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -1,5 +1,6 @@
 """What a daemon on the event loop tells of the moment, for its metrics page."""
 
+from . import loadlines
 from .metrics import Gauge, Label
 
 
@@ -34,20 +35,9 @@
         Gauge("retries_total", count, build_labels(route=name))
         for name, count in instance.forwarder.repeated.items()
     ]
-    for place, refused in (
-        ("entry", instance.forwarder.refused),
-        ("gatekeeper", instance.guard.refused),
-    ):
-        gauges += [
-            Gauge(
-                "refusals_total",
-                count,
-                build_labels(
-                    at=place, route=refusal.route, reason=refusal.reason.value
-                ),
-            )
-            for refusal, count in refused.items()
-        ]
+    for refused in loadlines.list_refused(instance):
+        labels = build_labels(at=refused.at, route=refused.route, reason=refused.reason)
+        gauges.append(Gauge("refusals_total", refused.count, labels))
     return gauges
 
 
--- a/whinwinch/limits.py
+++ b/whinwinch/limits.py
@@ -13,6 +13,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 # A trial compares the limit with one lower or higher by one of these parts of the
 # slots in turn: the smallest finds the best limit, the larger ones a way past limits
@@ -39,35 +40,43 @@
 CHANGED = math.log(1.3)
 
 
-class Arm:
-    """One of the two limits of a trial, and the jobs that ended under it.
+class Times:
+    """Service times of some jobs, in seconds."""
 
-    Args:
-        limit: The limit.
-    """
-
-    def __init__(self, limit):
-        self.limit = limit
-        self._count = 0
-        self._sum = 0.0
+    def __init__(self):
+        self.count = 0
+        self.total = 0.0
         self._squares = 0.0
 
-    def add(self, count, total, squares):
-        """Take the jobs of one turn: their number, seconds, and squared seconds."""
-        self._count += count
-        self._sum += total
-        self._squares += squares
+    def add(self, seconds):
+        """Take one job."""
+        self.count += 1
+        self.total += seconds
+        self._squares += seconds * seconds
+
+    def merge(self, other):
+        """Take the jobs of other `Times`."""
+        self.count += other.count
+        self.total += other.total
+        self._squares += other._squares
 
     @property
     def mean(self):
         """Mean service time in seconds."""
-        return self._sum / self._count
+        return self.total / self.count
 
     @property
     def variance(self):
         """Variance of the mean, relative to it."""
-        spread = self._squares / self._count - self.mean**2
-        return max(spread, 0.0) / (self._count * self.mean**2)
+        spread = self._squares / self.count - self.mean**2
+        return max(spread, 0.0) / (self.count * self.mean**2)
+
+
+class Arm(NamedTuple):
+    """One of the two limits of a trial, and the jobs that ended under it."""
+
+    limit: int
+    times: Times
 
 
 class Trial:
@@ -79,7 +88,7 @@
     """
 
     def __init__(self, low, high):
-        self._arms = Arm(low), Arm(high)
+        self._arms = Arm(low, Times()), Arm(high, Times())
         self._turns = 0
 
     @property
@@ -87,9 +96,9 @@
         """The limit whose turn it is."""
         return self._find_arm().limit
 
-    def add(self, count, total, squares):
+    def add(self, times):
         """Take the jobs of the present turn, and go on to the next."""
-        self._find_arm().add(count, total, squares)
+        self._find_arm().times.merge(times)
         self._turns += 1
 
     def decide(self):
@@ -98,8 +107,8 @@
             return None
         low, high = self._arms
         brought = math.log(high.limit / low.limit)
-        slowdown = math.log(high.mean / low.mean)
-        error = math.sqrt(low.variance + high.variance)
+        slowdown = math.log(high.times.mean / low.times.mean)
+        error = math.sqrt(low.times.variance + high.times.variance)
         beyond = slowdown - brought / 2.0
         if beyond > SURE_LOWER * error:
             return low.limit
@@ -128,28 +137,19 @@
         self.start = start
         self.ended = 0
         self.full = 0
-        self.count = 0
-        self.total = 0.0
-        self.squares = 0.0
+        self.times = Times()
 
     def add(self, seconds, is_full, now):
         """Take a job that has ended at `now` after some seconds."""
         self.ended += 1
         self.full += is_full
         if self.start is not None and now - seconds >= self.start:
-            self.count += 1
-            self.total += seconds
-            self.squares += seconds * seconds
-
-    @property
-    def mean(self):
-        """Mean service time in seconds."""
-        return self.total / self.count
+            self.times.add(seconds)
 
     @property
     def was_full(self):
         """Whether nearly all jobs saw all slots taken, and took any time."""
-        return self.full > FULL_SHARE * self.ended and self.total > 0.0
+        return self.full > FULL_SHARE * self.ended and self.times.total > 0.0
 
 
 class Limit:
@@ -201,12 +201,12 @@
             # The limit wasn't what held the jobs back.
             self._trial = None
         elif self._trial is not None:
-            self._trial.add(turn.count, turn.total, turn.squares)
+            self._trial.add(turn.times)
             self._settle(self._trial.decide())
-        elif self._pause > 0 and not self._has_changed(turn.mean):
+        elif self._pause > 0 and not self._has_changed(turn.times.mean):
             self._pause -= 1
         elif self.slots > 1:
-            self._begin_trial(turn.mean)
+            self._begin_trial(turn.times.mean)
 
     def _has_changed(self, mean):
         """Return whether jobs take another time than before the last trial."""
--- a/whinwinch/loadlines.py
+++ b/whinwinch/loadlines.py
@@ -30,7 +30,7 @@
 
 
 class RefusalCount(NamedTuple):
-    """Refusals of one kind since the line before.
+    """Refusals of one kind, since the line before or the start.
 
     Attributes:
         at: "entry" or "gatekeeper".
@@ -73,6 +73,16 @@
     sent: tuple[traffic.Sent, ...]
 
 
+def list_refused(instance):
+    """Yield a `RefusalCount` of each kind since the start of an instance."""
+    for at, counts in (
+        ("entry", instance.forwarder.refused),
+        ("gatekeeper", instance.guard.refused),
+    ):
+        for refusal, count in counts.items():
+            yield RefusalCount(at, refusal.route, refusal.reason.value, count)
+
+
 class Meter:
     """Tells the load between two looks at an `instance.Instance`.
 
@@ -112,19 +122,12 @@
         )
 
     def _read_refused(self):
-        refused = collections.Counter()
-        for at, counts in (
-            ("entry", self._instance.forwarder.refused),
-            ("gatekeeper", self._instance.guard.refused),
-        ):
-            for refusal, count in counts.items():
-                refused[at, refusal] = count
+        refused = collections.Counter(
+            {count[:-1]: count.count for count in list_refused(self._instance)}
+        )
         more = refused - self._refused
         self._refused = refused
-        return tuple(
-            RefusalCount(at, refusal.route, refusal.reason.value, count)
-            for (at, refusal), count in more.items()
-        )
+        return tuple(RefusalCount(*key, count) for key, count in more.items())
 
     def _read_sent(self):
         sent = self._instance.traffic.list_sent()
