Let one daemon of a single zone relay levels, not both of its readers

Read off the code: where all daemons stand in one zone two of them read the log, and both passed on what they held as the levels of all; the second holds its own levels only, so the whole zone heard the level of the service and nearly none in turn. The relay is the one that daemons tell. test_levels_hold_where_two_read_for_one _zone fails on the code before. Nothing changes where there are several zones: there the reader of a zone is its relay.

--- a/test/emulator/test_size.py
+++ b/test/emulator/test_size.py
@@ -23,13 +23,13 @@
 class SizeTest(unittest.TestCase):
     """Without the loop's debugging, which takes most of the time at this size."""
 
-    async def play(self, size, check):
+    async def play(self, size, check, zones=("a", "b")):
         """Check a mesh in which each daemon has served some requests."""
         services = tuple(
             s._replace(endpoints=size if s.name == "front" else 2)
             for s in press.SERVICES
         )
-        async with mesh.Mesh(services, press.CONFIGURATION) as built:
+        async with mesh.Mesh(services, press.CONFIGURATION, zones) as built:
             await built.wait_until(lambda: len(find_readers(built)) == 2)
             # Links of the start, when nobody knew who reads, are not used again.
             with unittest.mock.patch.object(links, "UNUSED_SECONDS", 0.5):
@@ -82,6 +82,28 @@
 
         asyncio.run(self.play(SIZE, check))
 
+    def test_levels_hold_where_two_read_for_one_zone(self):
+        """All daemons stand in one zone, and two of them read the log for it.
+
+        Did the second pass on its own levels as those of all, callers would be let in
+        and refused in turn.
+        """
+
+        async def check(built):
+            for member in built.members:
+                member.node.instance.guard.find_level = lambda route: 1.5
+            await asyncio.sleep(0.5)
+            for _ in range(20):
+                await asyncio.sleep(0.03)
+                now = asyncio.get_running_loop().time()
+                for member in built.members:
+                    instance = member.node.instance
+                    endpoints = instance.directory.find_endpoints("front")
+                    level = instance._board.level("browse", endpoints, now)
+                    self.assertAlmostEqual(level, 1.5, delta=0.05)
+
+        asyncio.run(self.play(6, check, ("a",)))
+
     def count_levels(self, built):
         return sum(
             sent.frames
--- a/test/logservice/test_sources.py
+++ b/test/logservice/test_sources.py
@@ -41,6 +41,18 @@
         chosen = choose(build_mesh(1, 9))
         self.assertEqual(sum(each.is_reader for each in chosen.values()), 2)
 
+    def test_one_relay_in_each_group(self):
+        """A single zone has two readers, so that one may fail.
+
+        Did both pass levels on, a zone would hear in turn of all of them and of one
+        daemon's only, and callers be let in and refused in turn.
+        """
+        for zones, size in ((1, 9), (3, 5), (1, 1)):
+            chosen = choose(build_mesh(zones, size))
+            relays = [address for address, each in chosen.items() if each.is_relay]
+            self.assertEqual(len(relays), zones)
+            self.assertEqual({each.reader for each in chosen.values()}, set(relays))
+
     def test_daemon_alone_reads(self):
         self.assertTrue(choose(build_mesh(1, 1))["10.0.0.0:1"].is_reader)
 
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -127,7 +127,7 @@
             counted=self.traffic,
         )
         self.topics = topics.Topics(self._tell_all)
-        self._sources = sources.Sources(True, ())
+        self._sources = sources.Sources(True, (), place.address)
         # By address: the start of the daemon there that connected last.
         self._starts = {}
         self.forwarder = Forwarder(
@@ -331,7 +331,8 @@
             levels = tuple(self.list_levels())
             if levels or told:
                 self._board.tell(self.place.address, levels, self._loop.time())
-                self.peers.find(self._sources.reader).tell(frames.Levels(levels))
+                if not self._sources.is_relay:
+                    self.peers.find(self._sources.reader).tell(frames.Levels(levels))
             told = levels
 
     async def keep_relay(self):
@@ -339,8 +340,7 @@
         told = ()
         while True:
             await asyncio.sleep(RELAY_SECONDS)
-            cuts = self._relay_levels(told) if self.is_reader() else ()
-            told = cuts
+            told = self._relay_levels(told) if self._sources.is_relay else ()
 
     def _relay_levels(self, told):
         """Tell the sums of levels; return those of all daemons.
@@ -373,7 +373,7 @@
                 told, repeat = (facts, reader), now + GRAPH_REPEAT_SECONDS
 
     def _tell_graph(self, frame):
-        if not self.is_reader():
+        if not self._sources.is_relay:
             self.peers.find(self._sources.reader).tell(frame)
             return
         for address in self._sources.others:
--- a/whinwinch/logservice/sources.py
+++ b/whinwinch/logservice/sources.py
@@ -32,13 +32,16 @@
         is_reader: Whether it reads the log itself.
         wanted: Addresses of the daemons that it should be connected with.
         reader: Address of the daemon that reads for it, which may be itself.
+        is_relay: Whether that is itself, so that it passes on what its daemons tell. In
+            a single group a second daemon reads and passes nothing on.
         others: For one that reads, addresses of those that read for the others.
         place: Place of the own group among all.
     """
 
     is_reader: bool
     wanted: tuple[str, ...]
-    reader: str = ""
+    reader: str
+    is_relay: bool = True
     others: tuple[str, ...] = ()
     place: int = 0
 
@@ -106,7 +109,8 @@
             visited = (*itertools.chain(*walks), *lost)
         wanted = dict.fromkeys((*near, *other, *visited))
         wanted.pop(self._own, None)
-        return Sources(is_reader, tuple(wanted), reader, others, self._place)
+        is_relay = reader == self._own
+        return Sources(is_reader, tuple(wanted), reader, is_relay, others, self._place)
 
     def _find_lost(self, is_linked):
         """Return daemons that this one reads for and that are out of reach.
