Start in other zones by a hash, not by the place in the own one

Found by test_member_that_comes_moves_little, which failed once after many passes: sizes [[1, 13]], three of twelve endpoints moved where two are the bound. Cause: a daemon alone in its zone has place 0; when another one comes it may have place 1 of 2, and start half way round the other zones' endpoints. The statement that a start moves by one place holds only where a zone has as many daemons as endpoints are dealt out, which is so in the own zone alone. Now the start in the other zones is a hash of the address and doesn't move.

A comment on the subset's size is corrected.

--- a/test/test_subsets.py
+++ b/test/test_subsets.py
@@ -143,6 +143,15 @@
         usable = subsets.choose_usable(mesh, lambda address: Reach.DUE)
         self.assertEqual(list(usable.endpoints), mesh)
 
+    def test_second_daemon_of_a_zone_moves_little(self):
+        """A daemon is alone in its zone, and another one comes.
+
+        By its place among two it would start half way round the other zones' endpoints
+        and open nearly all connections anew.
+        """
+        mesh = build_mesh([[1, 13]])
+        self.check_newcomer(mesh, mesh[0])
+
     @settings(max_examples=60, deadline=None)
     @given(SIZES, st.randoms(use_true_random=False))
     def test_member_that_comes_moves_little(self, sizes, random):
@@ -152,7 +161,10 @@
         what was learnt of endpoints lost.
         """
         mesh = build_mesh(sizes)
-        own = random.choice(mesh)
+        self.check_newcomer(mesh, random.choice(mesh))
+
+    def check_newcomer(self, mesh, own):
+        """Check what a daemon uses before and after one more has come."""
         joined = Endpoint("new:1", "new:1", mesh[0].service, mesh[0].zone, "r", 4)
         for service in {e.service for e in mesh}:
             before = set(list_used(own, mesh, service))
--- a/whinwinch/subsets.py
+++ b/whinwinch/subsets.py
@@ -6,12 +6,12 @@
 of it.
 
 So a daemon uses a few endpoints of each service, dealt out without talking. The daemons
-of an availability zone stand in one order, the endpoints in another; the place of a
+of an availability zone stand in one order, its endpoints in another; the place of a
 daemon in the first tells where it starts in the second, and it uses what follows. Each
-endpoint then gets as many of a zone's daemons as any other, to within one, and one that
-comes or goes moves a start by one place at most. Most are of the own zone, some of the
-others, which a zone leans on when its own are full or lost. Where one is out of reach
-the next in the order takes its place.
+endpoint then gets as many of its zone's daemons as any other, to within one. Some more
+are of the other zones, which a zone leans on when its own are full or lost; there a
+hash tells where to start. One that comes or goes moves a start by one place at most.
+Where one is out of reach the next in the order takes its place.
 
 Daemons that know different members are uneven for a moment, not wrong.
 """
@@ -23,7 +23,7 @@
 
 from .messages import Endpoint
 
-# Half may be set aside or full, and two are drawn of each kind.
+# Half may be set aside, and of the rest three are drawn for each call.
 SUBSET_SIZE = 12
 # Of these in the own zone, at most.
 NEAR_SIZE = 8
@@ -139,7 +139,8 @@
     beside = [e for e in endpoints if e.address == own]
     near = _rotate([e for e in endpoints if e.zone == zone], zone, position)
     near = beside + [e for e in near if e.address != own]
-    far = _rotate([e for e in endpoints if e.zone != zone], zone, position)
+    # By its place a daemon of a small zone would move far when another one comes.
+    far = _rotate([e for e in endpoints if e.zone != zone], zone, _spread(own))
     first_far = SUBSET_SIZE - min(len(near), NEAR_SIZE)
     return (
         *near[:NEAR_SIZE],
@@ -156,6 +157,12 @@
     return ordered[start:] + ordered[:start]
 
 
+def _spread(address):
+    """Return a number from 0 to below 1 that an address always has."""
+    digest, _ = _weigh("far", address)
+    return int.from_bytes(digest, "big") / 256 ** len(digest)
+
+
 def _weigh(salt, address):
     digest = hashlib.blake2b(f"{salt} {address}".encode(), digest_size=8)
     return digest.digest(), address
