--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -58,16 +58,12 @@
         shed: Share of requests that it turns down though it has room.
         fail: Share of requests that end with 500.
         lose: Share of requests that are run and not answered.
-        cut: Share of answers that are cut short.
-        extra: Share of requests after whose answer a second one comes.
         slower: Factor on the time that it works.
     """
 
     shed: float = 0.0
     fail: float = 0.0
     lose: float = 0.0
-    cut: float = 0.0
-    extra: float = 0.0
     slower: float = 1.0
 
 
