Give stand-ins ports that no connection gets while they are down

The ports came from the range that the system gives to outgoing connections, of which such a mesh opens hundreds. They now come from below that range; the test fails on the code before.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -14,6 +15,9 @@
 
 STOP_TIMEOUT = 12.0
 POLL_INTERVAL = 0.05
+# Below the ports that the system gives to outgoing connections: one of these would
+# have the port of a process that is down for a moment.
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 
 
 class Process(NamedTuple):
@@ -176,11 +180,18 @@
 
 def find_ports(count):
     """Return free TCP ports of the loopback address, all different."""
+    draw = random.SystemRandom()
+    ports = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
+        while len(ports) < count:
+            port = draw.randint(FIRST_PORT, LAST_PORT)
+            taken = stack.enter_context(socket.socket())
+            try:
+                taken.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
 
 
 def build_probe(timeout=2.0):
--- a/test/standins/test_processes.py
+++ b/test/standins/test_processes.py
@@ -29,3 +29,12 @@
         for _ in range(2):
             with processes.Processes(self.path) as running:
                 self.assertEqual(self.count_output(running, True), 1)
+
+
+class PortsTest(unittest.TestCase):
+    def test_no_connection_gets_the_port_of_a_process_that_is_down(self):
+        given = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+        first, last = map(int, given.split())
+        ports = processes.find_ports(200)
+        self.assertEqual(len(set(ports)), 200)
+        self.assertFalse([port for port in ports if first <= port <= last])
