Show the state of hundreds of daemons at a glance

An operator with 195 daemons had no way to see which service is full, who refuses why, which endpoints are set aside by how many, and which versions are in force: each daemon's page tells of itself, and not even of which service.

whinwinch fleet reads the pages of all daemons twice and adds them up.

--- /dev/null
+++ b/test/emulator/test_fleet.py
@@ -0,0 +1,28 @@
+"""Tests of the state of a whole mesh at a glance."""
+
+import asyncio
+import unittest
+
+from emulator import caller, mesh, press
+from whinwinch import fleet
+
+BROWSE = press.FLOWS[-1].kind._replace(deadline=8.0)
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_state_of_a_mesh_with_a_daemon_that_is_down(self):
+        async with mesh.Mesh(press.SERVICES, press.CONFIGURATION) as running:
+            settings = [member.settings for member in running.members]
+            pages = [f"{given.daemons.host}:{given.metrics}" for given in settings]
+            await running.kill(running.find("front")[0])
+            entry = running.find("front")[1].callers
+            looking = asyncio.create_task(asyncio.to_thread(fleet.look, pages, 1.5))
+            await asyncio.gather(*(caller.ask(entry, BROWSE) for _ in range(6)))
+            found = await looking
+        self.assertEqual(len(found.unreachable), 1)
+        daemons = {service.name: service.daemons for service in found.services}
+        self.assertEqual(daemons, {"front": 1, "middle": 2, "deep": 2})
+        deep = next(s for s in found.services if s.name == "deep")
+        self.assertEqual(deep.slots, 4)
+        self.assertGreater(deep.ended, 0.0)
+        self.assertEqual(set(found.versions), {3})
--- a/whinwinch/commands.py
+++ b/whinwinch/commands.py
@@ -63,6 +63,7 @@
     _add_drain(commands)
     _add_replay(commands)
     _add_explain(commands)
+    _add_fleet(commands)
     return parser
 
 
@@ -168,6 +169,21 @@
     parser.set_defaults(run=run_explain)
 
 
+def _add_fleet(commands):
+    summary = "show the state of all daemons, from their metrics pages"
+    parser = commands.add_parser("fleet", help=summary, description=summary)
+    parser.add_argument(
+        "addresses", metavar="HOST:PORT", nargs="*", help="of a metrics page"
+    )
+    parser.add_argument(
+        "--addresses-from", metavar="FILE", help="with an address a line"
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=2.0, help="over which rates are taken [2]"
+    )
+    parser.set_defaults(run=run_fleet)
+
+
 def _add_operator_command(commands, name, summary, run):
     parser = commands.add_parser(name, help=summary, description=summary)
     parser.add_argument(
@@ -207,6 +223,27 @@
     return replay.code
 
 
+def run_fleet(arguments, environment):
+    """Show the state of all daemons."""
+    del environment
+    from . import fleet
+
+    addresses = list(arguments.addresses)
+    if arguments.addresses_from:
+        try:
+            with open(arguments.addresses_from, encoding="utf-8") as lines:
+                addresses += [line.strip() for line in lines if line.strip()]
+        except OSError as error:
+            raise UserError(str(error)) from error
+    if not addresses:
+        raise UserError("name the addresses of metrics pages, or a file of them")
+    if arguments.seconds <= 0.0:
+        raise UserError("--seconds must be above 0")
+    found = fleet.look(addresses, arguments.seconds)
+    print("\n".join(fleet.render_fleet(found)))
+    return EXIT_FAILED if found.unreachable else EXIT_OK
+
+
 def run_explain(arguments, environment):
     """Tell why a request failed."""
     del environment
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -93,6 +93,19 @@
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
+    def list_set_aside(self):
+        """Return the addresses of endpoints that are set aside at present."""
+        known = self._placement.known
+        services = {e.service for e in self._directory.everyone if e.daemon in known}
+        now = self._loop.time()
+        return sorted(
+            address
+            for service in services
+            for address in self._placement.find_set_aside(
+                self._preferences.list_preferred(service), now
+            )
+        )
+
     def _settle(self, request, answer, may_have_run):
         """Return the answer to give; a refusal says when to come back."""
         settled = retries.settle_answer(answer, may_have_run)
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -13,7 +13,18 @@
     """
     load = instance.guard.load()
     use = instance.guard.measure_use()
+    endpoint = instance.endpoint
     gauges = [
+        Gauge(
+            "backend",
+            1,
+            build_labels(
+                service=endpoint.service,
+                zone=endpoint.zone,
+                state="leaving" if endpoint.leaving else "ready",
+            ),
+        ),
+        Gauge("slots", endpoint.slots),
         Gauge("ended_total", use.ended),
         Gauge("slot_seconds_total", use.seconds),
         Gauge("in_service", load.in_service),
@@ -35,6 +46,10 @@
         Gauge("retries_total", count, build_labels(route=name))
         for name, count in instance.forwarder.repeated.items()
     ]
+    gauges += [
+        Gauge("set_aside", 1, build_labels(endpoint=address))
+        for address in instance.forwarder.list_set_aside()
+    ]
     for refused in loadlines.list_refused(instance):
         labels = build_labels(at=refused.at, route=refused.route, reason=refused.reason)
         gauges.append(Gauge("refusals_total", refused.count, labels))
--- a/whinwinch/placement.py
+++ b/whinwinch/placement.py
@@ -178,6 +178,27 @@
         """Return the usual latency of a call in seconds, 0 while none is known."""
         return self._usual.get(name_kind(request), 0.0)
 
+    @property
+    def known(self):
+        """Daemons whose endpoints this one has lately used."""
+        return self._records.keys()
+
+    def find_set_aside(self, present, now):
+        """Return the daemons whose endpoints are set aside at present.
+
+        Args:
+            present: The endpoints of one service that don't leave.
+            now: Time of the loop's clock in seconds.
+        """
+        typical = self._find_typical(present, now)
+        badness = {e.daemon: self._judge(e, typical, now) for e in present}
+        bad = sorted(
+            (e.daemon for e in present if badness[e.daemon] > 1.0),
+            key=badness.get,
+            reverse=True,
+        )
+        return frozenset(bad[: len(present) // 2])
+
     def start(self, daemon_id, now, request=None):
         """Note that an attempt is sent to a daemon.
 
@@ -288,14 +309,7 @@
 
     def _split(self, open_, present, now):
         """Split endpoints into good ones and ones set aside."""
-        typical = self._find_typical(present, now)
-        badness = {e.daemon: self._judge(e, typical, now) for e in present}
-        bad = sorted(
-            (e.daemon for e in present if badness[e.daemon] > 1.0),
-            key=badness.get,
-            reverse=True,
-        )
-        aside_names = frozenset(bad[: len(present) // 2])
+        aside_names = self.find_set_aside(present, now)
         if not aside_names:
             return open_, ()
         good = [e for e in open_ if e.daemon not in aside_names]
