--- a/emulator/draws.py
+++ b/emulator/draws.py
@@ -74,15 +74,17 @@
     zones = ZONES[: draw.randint(1, len(ZONES))]
     layers = _draw_layers(draw, factor)
     services = tuple(service for layer in layers for service in layer)
-    routes, flows = {}, []
-    for layer in layers:
-        for service in layer:
-            for kind in _list_kinds(service):
-                routes[kind.route] = _draw_route(draw, service, kind)
-    for service in layers[0] + layers[-1]:
-        for kind in _list_kinds(service):
-            if kind.prefix != INNER and all(kind.route != flow.name for flow in flows):
-                flows.append(_draw_flow(draw, service, kind))
+    routes = {
+        kind.route: _draw_route(draw, service, kind)
+        for service in services
+        for kind in _list_kinds(service)
+    }
+    flows = [
+        _draw_flow(draw, service, kind)
+        for service in layers[0] + layers[-1]
+        for kind in _list_kinds(service)
+        if kind.prefix != INNER
+    ]
     scale = _find_scale(draw, services, flows)
     burst = draw.uniform(1.0, HIGHEST_BURST)
     usual, peak, rest = PHASES_SECONDS
--- a/emulator/generated.py
+++ b/emulator/generated.py
@@ -2,14 +2,11 @@
 
 import argparse
 import asyncio
-import os
 import random
 import sys
 from typing import NamedTuple
 
-from whinwinch import events
-
-from . import caller, draws, load, mesh, promises, troubles
+from . import caller, draws, load, logs, mesh, promises, troubles
 
 # Seconds that what was in flight at the end gets to come to its end.
 SETTLE_SECONDS = 1.0
@@ -123,8 +120,7 @@
     parser.add_argument("--log", metavar="FILE", help="for the daemons' log lines")
     options = parser.parse_args(arguments)
     if options.log:
-        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-        events.install(events.Log(os.open(options.log, flags, 0o644)))
+        logs.install_log(options.log)
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
         drawn = draws.draw_play(seed, sorted(troubles.TROUBLES), options.factor)
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -2,15 +2,13 @@
 
 import argparse
 import asyncio
-import os
 import pathlib
 import sys
 import time
 
 from reports import loads
-from whinwinch import events
 
-from . import backend, caller, load, mesh, press
+from . import backend, caller, load, logs, mesh, press
 
 # The last status that a caller was told, by what it means to it.
 FAILURES = {
@@ -55,8 +53,7 @@
         load.Phase(options.seconds),
     )
     if options.log:
-        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-        events.install(events.Log(os.open(options.log, flags, 0o644)))
+        logs.install_log(options.log)
     async with mesh.Mesh(press.SERVICES, press.CONFIGURATION) as running:
         for member in running.members:
             member.backend.faults = backend.Faults(lose=options.lose)
