--- a/bench/regression.py
+++ b/bench/regression.py
@@ -21,18 +21,24 @@
 
 
 class Day(NamedTuple):
-    """A day of a deployment: the path of its site file without its end, its name."""
+    """A day of a deployment.
+
+    Attributes:
+        site: Path of its site file without its end.
+        name: Name of the day.
+        in_turn: Whether one version is played after the other, since both at once
+            take too much memory.
+    """
 
     site: str
     name: str
+    in_turn: bool = False
 
 
 # One day with trouble and one of high load of each deployment.
 DAYS = (
-    Day("sites/cspp-mesh", "trouble-1"),
-    Day("sites/cspp-mesh", "scale-1"),
-    Day("sites/apa-reportes", "trouble-3"),
-    Day("sites/apa-reportes", "scale-2"),
+    Day("large/cspp-mesh-large", "trouble-1", in_turn=True),
+    Day("large/cspp-mesh-large", "scale-2", in_turn=True),
     Day("further/asante-pellet", "trouble-1"),
     Day("further/asante-pellet", "scale-2"),
     Day("further-grown/asante-pellet-grown", "trouble-1"),
@@ -125,12 +131,14 @@
     parser.add_argument(
         "--in-turn",
         action="store_true",
-        help="one version after the other, where two take too much memory",
+        help="the days named by --day one version after the other",
     )
     options = parser.parse_args(arguments)
     days = DAYS
     if options.day:
-        days = [Day(*text.rsplit(":", 1)) for text in options.day]
+        days = [
+            Day(*text.rsplit(":", 1), in_turn=options.in_turn) for text in options.day
+        ]
     root = pathlib.Path.cwd()
     # The users' program starts no daemons below the folder for temporary files.
     copies = pathlib.Path(
@@ -169,7 +177,7 @@
         running.append(
             subprocess.Popen([*command, *why], cwd=clone, stdout=subprocess.DEVNULL)
         )
-        if options.in_turn:
+        if day.in_turn:
             running[-1].wait()
     for process in running:
         process.wait()
