Log a metrics page that can't be read; say what the check of repeats allows

The error of a page that couldn't be fetched was dropped without a log line. The check's words said that a play lasts no longer than the operators' window; with the last look for service it may. What it checks is as before.

--- a/emulator/promises.py
+++ b/emulator/promises.py
@@ -115,7 +115,8 @@
 def _check_repeats(servers, terms):
     """Yield services that got more repeats than the operator allows.
 
-    The whole play lasts no longer than the operator's window.
+    One window's slack has to do for the whole play, which may last longer: never more
+    than operators allow.
     """
     by_service = collections.defaultdict(collections.Counter)
     for server in servers:
--- a/whinwinch/fleet.py
+++ b/whinwinch/fleet.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import urllib3
+from absl import logging
 
 from .errors import UserError
 from .metrics import PREFIX
@@ -150,8 +151,8 @@
 def _fetch_page(pool, address):
     try:
         answer = pool.request("GET", f"http://{address}{PATH}")
-    except urllib3.exceptions.HTTPError:
-        # It is listed among the unreachable.
+    except urllib3.exceptions.HTTPError as error:
+        logging.info("no page from %s, listed as unreachable: %s", address, error)
         return None
     if answer.status != 200:
         return None
