Identify the workspace of each request by its key

On the shifted deployment requests of routes that aren't public carry a key.

The configuration's workspaces become a registry that finds one by a salted digest of the key. A request without a known key is refused with 401 before anything is sent, unless its route is public. The key and a name that a caller makes up are dropped; the workspace's name goes to the backend server and is the caller in crash fingerprints.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -77,13 +77,27 @@
 
 
 class Run(NamedTuple):
-    """A request that started to run, with the service that called."""
+    """A request that started to run.
+
+    Attributes:
+        request: Its identifier.
+        method: HTTP method.
+        target: Path and query.
+        body: The complete body.
+        caller: Service that called.
+        workspace: Workspace that it was attributed to, "" for none.
+        credentials: Credentials that reached the backend server, "" for none.
+        time: Time of the event loop's clock in seconds.
+    """
 
     request: str
     method: str
     target: str
     body: bytes
     caller: str
+    workspace: str = ""
+    credentials: str = ""
+    time: float = 0.0
 
 
 class Slots:
@@ -274,7 +288,16 @@
     async def _run(self, http, request, deadline):
         calling_service = find_header(http.headers, "x-caller-service")
         self.runs.append(
-            Run(request, http.method, http.target, http.body, calling_service)
+            Run(
+                request,
+                http.method,
+                http.target,
+                http.body,
+                calling_service,
+                find_header(http.headers, "x-tenant-id"),
+                find_header(http.headers, "authorization"),
+                asyncio.get_running_loop().time(),
+            )
         )
         if http.target == self.faults.crashing_target:
             await asyncio.sleep(CRASH_DELAY_SECONDS)
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -31,6 +31,7 @@
             retries.
         disconnect_after: Seconds after which the caller closes its connection,
             even before the deadline.
+        key: Key of the caller's workspace, "" for none.
     """
 
     host: str
@@ -43,6 +44,7 @@
     retries: int = 1
     honors_retry_after: bool = True
     disconnect_after: float = math.inf
+    key: str = ""
 
 
 class SentAnswer(NamedTuple):
@@ -67,6 +69,7 @@
         whole: Whether the last response is a success and complete.
         retry_after: Retry-After of the last response in seconds, 0 without one.
         answers: `SentAnswer` of each attempt, in order.
+        key: Key that the requests carried, "" for none.
     """
 
     requests: tuple[str, ...]
@@ -75,6 +78,7 @@
     whole: bool
     retry_after: float
     answers: tuple[SentAnswer, ...] = ()
+    key: str = ""
 
 
 class Pools:
@@ -126,6 +130,7 @@
             whole,
             pause,
             tuple(answers),
+            kind.key,
         )
         if status in FINAL_STATUSES or len(requests) > kind.retries:
             return result
@@ -146,7 +151,10 @@
         ("X-Request-Id", request),
         ("X-Deadline-Ms", str(max(1, int(left * 1000)))),
         ("X-Caller-Service", "forged"),
+        ("X-Tenant-Id", "forged"),
     )
+    if kind.key:
+        headers += (("Authorization", f"Bearer {kind.key}"),)
     http = HttpRequest(kind.method, kind.path, headers, kind.body)
     pool = pools.find(address) if pools else _build_pool(address)
     disconnect_after = (
--- a/emulator/guarantees.py
+++ b/emulator/guarantees.py
@@ -23,12 +23,14 @@
         servers: `backend.Backend` objects.
         left: `disruptions.DrainingBackend` objects.
         terms: `repeats.RepeatLimits` in force.
+        workspaces: Name of the workspace of each key that any configuration held.
     """
 
     results: tuple
     servers: tuple
     left: tuple
     terms: object
+    workspaces: dict[str, str] = {}
 
 
 def find_violations(observations):
@@ -49,6 +51,7 @@
         *_check_callers(observations.servers),
         *_check_drained(observations.left),
         *_check_repeats(observations.servers, observations.terms),
+        *_check_workspaces(observations),
     ]
 
 
@@ -129,3 +132,19 @@
         if repeat_count > allowed:
             text = f"{service}: {repeat_count} repeats of {len(counts)} requests"
             yield Violation("repeats stay within the budget", text)
+
+
+def _check_workspaces(observations):
+    """Yield violations by runs under a wrong workspace or with a caller's key."""
+    keys = {
+        request: each.key for each in observations.results for request in each.requests
+    }
+    for server in observations.servers:
+        for run in server.runs:
+            expected = observations.workspaces.get(keys.get(run.request, ""), "")
+            if run.workspace != expected:
+                text = f"{run.request} ran for {run.workspace!r}, not {expected!r}"
+                yield Violation("runs name the workspace that holds the key", text)
+            if run.credentials:
+                text = f"{run.request} reached {server.identity} with its key"
+                yield Violation("keys don't reach backend servers", text)
--- /dev/null
+++ b/test/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of workspaces."""
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -35,6 +35,22 @@
     at: str
 
 
+class Unidentified(NamedTuple):
+    """A request was refused because it belongs to no workspace.
+
+    Attributes:
+        key: "unknown" if it carries a key, else "none".
+        version: Version of the configuration in force.
+    """
+
+    root: str
+    attempt: str
+    call: str
+    reason: str
+    key: str
+    version: int
+
+
 class Answered(NamedTuple):
     """An attempt was answered, with the decision on whether it is retried."""
 
@@ -90,6 +106,27 @@
     )
 
 
+def log_unidentified(request, reason, has_key, version):
+    """Log that a request is refused because it belongs to no workspace.
+
+    Args:
+        request: The `messages.Request`, which doesn't contain the key.
+        reason: `messages.Reason` of the refusal.
+        has_key: Whether it carries a key.
+        version: Version of the configuration in force.
+    """
+    log_decision(
+        Unidentified(
+            request.root,
+            request.attempt,
+            request.call,
+            reason.value,
+            "unknown" if has_key else "none",
+            version,
+        )
+    )
+
+
 def log_answer(attempt, answer, endpoint, time_left, again, ground):
     """Log an answer other than a success, and whether the request is retried.
 
--- a/whinwinch/explanations.py
+++ b/whinwinch/explanations.py
@@ -14,6 +14,8 @@
 
 # Events that are shown as context of a daemon's decisions.
 CONTEXT_EVENTS = ("configuration", "dependency", "backend", "stop", "start", "reload")
+# Events of requests that are refused at their entry.
+FINAL_EVENTS = frozenset({"refused", "unidentified"})
 # Seconds before the first decision from which such events are shown.
 MAX_CONTEXT_AGE = 10.0
 # Fields that are not shown as ``name=value``.
@@ -48,6 +50,8 @@
     Reason.CRASHED: "the backend server crashed while it ran the request",
     Reason.SUSPECT: "it was in flight at two crashes, and waited too long to run alone",
     Reason.CAUSES_CRASHES: "backend servers crash when they run it",
+    Reason.UNKNOWN_KEY: "it carries no key that a workspace of the configuration in "
+    "force holds",
     Reason.DEEPER: "a service further down the call graph refused a call made for it",
 }
 
@@ -160,7 +164,7 @@
         str(fields.get("root", "")),
         str(fields.get("attempt", "")),
         reason,
-        event == "refused" or fields.get("again") is False,
+        event in FINAL_EVENTS or fields.get("again") is False,
         int(fields.get("left_out", 0)),
         rest,
     )
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -14,6 +14,7 @@
 from . import (
     callgraph,
     crashes,
+    decisions,
     directory,
     events,
     loadlog,
@@ -29,6 +30,7 @@
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 from .reportedlevels import ReportedLevels
+from .workspaces import registry
 
 # Share of a route's objective that a nested call may wait for a slot. The waits of
 # sequential calls of one request add up: with a larger share, admitted requests are
@@ -125,6 +127,7 @@
         self._loop = asyncio.get_running_loop()
         self.location = location
         self.table = routes.RouteTable()
+        self.workspaces = registry.Registry()
         self.round_robin = routes.WeightedRoundRobin()
         self.directory = directory.Directory(location.address)
         hello = frames.Hello(messages.new_identifier(), location.address)
@@ -184,8 +187,12 @@
         """Listen for other daemons at a `settings.Address`; return the port."""
         return await self.exchange.listen(address.host, address.port)
 
-    def install_table(self, table):
-        """Install a version of the routes if it is newer than the present one.
+    def install_table(self, table, workspaces):
+        """Install a version of the configuration if it is newer than the present one.
+
+        Args:
+            table: `routes.RouteTable` of that version.
+            workspaces: Its `workspaces.registry.Registry`.
 
         Returns:
             Whether it was newer.
@@ -197,6 +204,7 @@
         )
         events.write("configuration", change)
         self.table = table
+        self.workspaces = workspaces
         self._table_installed_at = self._loop.time()
         self.round_robin.prune(table)
         self._routes = {route.name: route for route in table.routes}
@@ -227,6 +235,18 @@
             self.peers.forget(address)
             self._connected_daemons.pop(address, None)
 
+    def refuse_unidentified(self, request, has_key):
+        """Return the answer to a request that belongs to no workspace but needs one.
+
+        Args:
+            request: `messages.Request`.
+            has_key: Whether it carries a key, which no workspace holds.
+        """
+        reason = Reason.UNKNOWN_KEY
+        self.forwarder.refused[messages.Refusal(request.call, reason)] += 1
+        decisions.log_unidentified(request, reason, has_key, self.table.version)
+        return build_failure(request, Outcome.NOT_RUN, reason)
+
     async def serve(self, request, route, expires, connection=0):
         """Serve a request of a caller or a call of the local backend server.
 
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -64,6 +64,7 @@
     CRASHED = "backend-crashed"
     SUSPECT = "suspect-of-crashes"
     CAUSES_CRASHES = "crashes-backends"
+    UNKNOWN_KEY = "unknown-key"
 
 
 class Refusal(NamedTuple):
--- a/whinwinch/platform/configuration.py
+++ b/whinwinch/platform/configuration.py
@@ -8,6 +8,8 @@
 from ..http1.server import Limits
 from ..messages import Importance
 from ..routes import Route, RouteTable, WeightedService
+from ..workspaces.keys import digest_key
+from ..workspaces.registry import Quota, Registry, Workspace
 from .values import parse_duration, parse_version
 
 # Importance by the platform's priority, of which 0 is the highest. Priorities beyond
@@ -24,43 +26,53 @@
     Attributes:
         table: The routes and the version of the configuration.
         limits: Limits on the requests of callers.
+        workspaces: The workspaces with their keys and quotas.
     """
 
     table: RouteTable
     limits: Limits
+    workspaces: Registry
 
 
 def parse_configuration(data):
     """Return the `Configuration` parsed from JSON bytes.
 
-    One invalid route makes the whole configuration invalid: with only part of the
-    routes, requests for the others would be refused. Each invalid route has a
-    finding.
+    One invalid route or workspace makes the whole configuration invalid: with only part
+    of them, requests for the others would be refused. Each invalid one has a finding.
 
     Raises:
-        InputErrors: With a finding for every invalid route.
+        InputErrors: With a finding for every invalid route and workspace.
         ValueError: When the data isn't JSON or has no version.
     """
     document = json.loads(data)
     if not isinstance(document, dict):
         raise ValueError("the configuration must be a JSON object")
     version = parse_version(document.get("version"))
-    findings, routes = [], []
-    for name, fields in _list_items(document.get("routes")):
+    findings = []
+    routes = _parse_items(document, "routes", _parse_route, findings)
+    workspaces = _parse_items(document, "tenants", _parse_workspace, findings)
+    raise_findings(f"configuration {version} has invalid parts", findings)
+    limits = _parse_limits(document.get("limits") or {})
+    registry = Registry(workspaces)
+    return Configuration(RouteTable(version, routes), limits, registry)
+
+
+def _parse_items(document, table, parse, findings):
+    """Return the parsed items of a table, and add a finding for each invalid one."""
+    parsed = []
+    for name, fields in _list_items(document.get(table)):
         try:
-            routes.append(_parse_route(name, fields))
+            parsed.append(parse(name, fields))
         except (KeyError, TypeError, ValueError) as error:
-            findings.append(Finding(f"routes.{name}", f"{error!r}"))
-    raise_findings(f"configuration {version} has invalid routes", findings)
-    limits = _parse_limits(document.get("limits") or {})
-    return Configuration(RouteTable(version, routes), limits)
+            findings.append(Finding(f"{table}.{name}", f"{error!r}"))
+    return parsed
 
 
-def _list_items(routes):
+def _list_items(items):
     """Return pairs of name and fields, from a JSON object or a list of objects."""
-    if isinstance(routes, dict):
-        return tuple(routes.items())
-    return tuple((fields.get("name", ""), fields) for fields in routes or ())
+    if isinstance(items, dict):
+        return tuple(items.items())
+    return tuple((fields.get("name", ""), fields) for fields in items or ())
 
 
 def _parse_route(name, fields):
@@ -77,9 +89,26 @@
         timeout=_parse_time(fields.get("timeout")),
         objective=_parse_time(fields.get("target_latency")),
         max_endpoints=max(1, int(fields.get("max_attempts") or 1)),
+        is_public=bool(fields.get("public")),
     )
 
 
+def _parse_workspace(name, fields):
+    """Return a `Workspace`; its errors must not contain the value of a key."""
+    keys = fields.get("api_keys") or ()
+    if not all(isinstance(key, str) and key for key in keys):
+        raise ValueError("each of its keys must be text")
+    return Workspace(name, tuple(map(digest_key, keys)), _parse_quota(fields))
+
+
+def _parse_quota(fields):
+    rate = float(fields.get("rate_per_s") or 0.0)
+    burst = float(fields.get("burst") or 0.0)
+    if not (0.0 <= rate < math.inf and 0.0 <= burst < math.inf):
+        raise ValueError("rate_per_s and burst must be numbers of at least 0")
+    return Quota(rate, burst) if rate else Quota()
+
+
 def _parse_weighted_services(fields):
     if fields.get("service"):
         return (WeightedService(fields["service"], 1),)
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -15,12 +15,16 @@
     format_request,
 )
 from ..messages import Answer, Outcome, Reason, Request, build_failure, new_identifier
+from ..workspaces.keys import parse_credentials
 
 REQUEST_ID = "X-Request-Id"
 # Remaining time in milliseconds, not a point in time as the name suggests.
 TIME_LEFT = "X-Deadline-Ms"
 EXPECTED_BACKEND = "X-Expected-Instance"
 CALLER_SERVICE = "X-Caller-Service"
+WORKSPACE = "X-Tenant-Id"
+CREDENTIALS = "authorization"
+CREDENTIALS_SCHEME = "Bearer"
 # Present on an answer if the backend server did not run the request.
 NOT_RUN = "x-not-executed"
 # Signature that only the answers of a backend server carry.
@@ -31,18 +35,24 @@
 SERVER_LEAVING = "server-leaving"
 # Headers that the daemon sets; values sent by callers are dropped.
 _DAEMON_HEADERS = CONNECTION_HEADERS | {
-    name.lower() for name in (TIME_LEFT, EXPECTED_BACKEND, CALLER_SERVICE)
+    name.lower() for name in (TIME_LEFT, EXPECTED_BACKEND, CALLER_SERVICE, WORKSPACE)
 }
+# Headers that don't reach backend servers as callers sent them.
+_WITHHELD_HEADERS = _DAEMON_HEADERS | {CREDENTIALS}
 _REQUEST_ID = REQUEST_ID.lower()
 _TIME_LEFT = TIME_LEFT.lower()
 # Statuses that guarantee that a request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _WRONG_BACKEND = 421
+_UNAUTHORIZED = 401
+# Statuses of refusals, 503 for the reasons that aren't listed.
+_REFUSAL_STATUSES = {Reason.UNKNOWN_KEY: _UNAUTHORIZED}
 # Seconds that a caller waits if its request has no deadline header.
 DEFAULT_TIMEOUT = 60.0
 
 _PHRASES = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     502: "Bad Gateway",
     503: "Service Unavailable",
@@ -82,7 +92,18 @@
     return Arrival(host, http.target.partition("?")[0], seconds)
 
 
-def build_request(http, route, service, caller_service, deadline, due):
+def read_key(http):
+    """Return the key of a workspace that an `HttpRequest` carries, or None."""
+    size = len(CREDENTIALS)
+    values = [
+        value
+        for name, value in http.headers
+        if len(name) == size and name.lower() == CREDENTIALS
+    ]
+    return parse_credentials(values, CREDENTIALS_SCHEME) if values else None
+
+
+def build_request(http, route, service, caller_service, deadline, due, workspace=""):
     """Return the `Request` of an `HttpRequest`.
 
     Args:
@@ -92,8 +113,11 @@
         caller_service: Service of the instance at which the request entered.
         deadline: Time of the loop's clock at which the caller stops waiting.
         due: Time of the same clock by which the request should be answered.
+        workspace: Name of the workspace that the request belongs to, "" for none.
     """
-    headers = drop_headers(http.headers, _DAEMON_HEADERS)
+    headers = drop_headers(http.headers, _WITHHELD_HEADERS)
+    if workspace:
+        headers = (*headers, (WORKSPACE, workspace))
     return Request(
         attempt=new_identifier(),
         root=find_header(http.headers, _REQUEST_ID) or new_identifier(),
@@ -104,6 +128,7 @@
         importance=route.importance,
         deadline=deadline,
         repeatable=route.repeatable,
+        caller=workspace,
         headers=(*headers, (CALLER_SERVICE, caller_service)),
         body=http.body,
         due=due,
@@ -189,7 +214,8 @@
         (_, phrase), *headers = answer.headers
         return HttpResponse(answer.status, phrase, tuple(headers), answer.body)
     if answer.outcome is Outcome.NOT_RUN:
-        return refuse(503, answer.reason, answer.retry_after, identifier)
+        status = _REFUSAL_STATUSES.get(answer.reason, 503)
+        return refuse(status, answer.reason, answer.retry_after, identifier)
     status = 504 if answer.reason is Reason.DEADLINE else 502
     return refuse(status, answer.reason, 0.0, identifier)
 
@@ -208,6 +234,8 @@
         headers.append((REQUEST_ID, identifier))
     if retry_after:
         headers.append(("Retry-After", f"{retry_after:.3f}"))
+    if status == _UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", CREDENTIALS_SCHEME))
     return HttpResponse(status, _PHRASES[status], tuple(headers))
 
 
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -242,18 +242,24 @@
         route = instance.table.find(arrival.host, arrival.path)
         if route is None:
             return dialect.refuse(404, messages.Reason.NO_ROUTE)
+        key = dialect.read_key(http)
+        identity = instance.workspaces.identify(key, route.is_public)
         now = asyncio.get_running_loop().time()
         request = dialect.build_request(
             http,
             route,
-            instance.round_robin.choose(route),
+            "" if identity.refusal else instance.round_robin.choose(route),
             self._settings.service,
             now + min(arrival.seconds, route.timeout),
             now + min(route.objective, route.timeout, arrival.seconds),
+            identity.workspace.name if identity.workspace else "",
         )
-        answer = await instance.serve(
-            request, route, now + arrival.seconds, sender.connection
-        )
+        if identity.refusal is not None:
+            answer = instance.refuse_unidentified(request, key is not None)
+        else:
+            answer = await instance.serve(
+                request, route, now + arrival.seconds, sender.connection
+            )
         seconds = asyncio.get_running_loop().time() - now
         self._metrics.record_call(
             route.name, route.importance, answer.outcome, answer.reason, seconds, 0
@@ -351,7 +357,7 @@
             except (InputErrors, ValueError) as error:
                 events.write("configuration-unread", events.Message(str(error)))
                 continue
-            if self.instance.install_table(parsed.table):
+            if self.instance.install_table(parsed.table, parsed.workspaces):
                 self._callers.limits = parsed.limits
 
     def _apply_instance_records(self, changed):
--- a/whinwinch/routes.py
+++ b/whinwinch/routes.py
@@ -36,6 +36,7 @@
         timeout: Maximum time until a caller gets an answer, in seconds.
         objective: Target latency in seconds, after which an answer has less value.
         max_endpoints: Maximum number of endpoints that one request is sent to.
+        is_public: Whether requests need no key of a workspace.
     """
 
     name: str
@@ -47,6 +48,7 @@
     timeout: float = math.inf
     objective: float = math.inf
     max_endpoints: int = 1
+    is_public: bool = False
 
 
 class RouteTable:
--- /dev/null
+++ b/whinwinch/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: who may send requests, and how many."""
--- /dev/null
+++ b/whinwinch/workspaces/registry.py
@@ -0,0 +1,95 @@
+"""The workspaces of one configuration, and which of them a request belongs to."""
+
+import math
+from typing import NamedTuple
+
+from ..messages import Reason
+from . import keys
+
+
+class Quota(NamedTuple):
+    """Limit on the requests of a workspace over all daemons.
+
+    Attributes:
+        rate: Requests a second.
+        burst: Requests beyond the rate that may come at once.
+    """
+
+    rate: float = math.inf
+    burst: float = math.inf
+
+
+class Workspace(NamedTuple):
+    """A workspace with its keys.
+
+    Attributes:
+        name: Name of the workspace, which backend servers are told.
+        digests: `keys.digest_key` of each of its keys.
+        quota: `Quota` over all daemons.
+    """
+
+    name: str
+    digests: tuple[bytes, ...] = ()
+    quota: Quota = Quota()
+
+
+class Identity(NamedTuple):
+    """Result of the identification of a request.
+
+    Attributes:
+        workspace: `Workspace` that it belongs to, None for none.
+        refusal: `messages.Reason` for which it is refused, None if it isn't.
+    """
+
+    workspace: Workspace | None = None
+    refusal: Reason | None = None
+
+
+NOBODY = Identity()
+
+
+class Registry:
+    """The workspaces of one configuration.
+
+    Args:
+        workspaces: `Workspace` tuples; without any, no request needs a key.
+
+    Raises:
+        ValueError: When two workspaces share a key.
+    """
+
+    def __init__(self, workspaces=()):
+        self._workspaces = {each.name: each for each in workspaces}
+        self._by_digest = {}
+        for workspace in workspaces:
+            for digest in workspace.digests:
+                other = self._by_digest.setdefault(digest, workspace)
+                if other is not workspace:
+                    raise ValueError(
+                        f"workspaces {other.name} and {workspace.name} share a key"
+                    )
+
+    @property
+    def workspaces(self):
+        """The `Workspace` tuples in the order of the configuration."""
+        return tuple(self._workspaces.values())
+
+    def find(self, name):
+        """Return the `Workspace` of a name, or None."""
+        return self._workspaces.get(name)
+
+    def identify(self, key, is_public):
+        """Return the `Identity` of a request.
+
+        Args:
+            key: Key that the request carries, None for none.
+            is_public: Whether requests of its route need no key.
+        """
+        workspace = None
+        if key is not None and self._by_digest:
+            workspace = self._by_digest.get(keys.digest_key(key))
+        if workspace is not None:
+            return Identity(workspace)
+        if is_public or not self._workspaces:
+            return NOBODY
+        return Identity(refusal=Reason.UNKNOWN_KEY)
