Keep the quota of a workspace over all daemons

A quota was kept by nobody: each daemon served whatever carried a key.

Daemons tell their relay what arrives and what they admit for each workspace; from the sums each follows the one bucket that all share and admits the part of its arrivals that it pays for, the most important first. Those that don't hear each other keep to their part of the quota. Beyond it requests get 429 with the time until a token is there.

A key also shows that a request comes from a caller, which the call graph now takes as a fact. Relays get a class of their own, so that levels, topology and quotas take one way.

--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -9,6 +9,7 @@
 from whinwinch.platform.node import Node
 from whinwinch.platform.settings import InstanceSettings
 from whinwinch.settings import Address
+from whinwinch.workspaces import quotas
 
 from . import backend, store
 
@@ -138,6 +139,7 @@
             metrics=ports[4],
             store=Address(LOCAL, self._store_port),
             repeats=repeats.RepeatLimits(0.2, 20.0, 10.0),
+            quotas=quotas.QuotaTerms(5.0, 0.1, 20.0),
             drain=2.0,
             stop_grace=6.0,
         )
--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -23,6 +23,7 @@
     build_failure,
 )
 from whinwinch.subsets import Reachability
+from whinwinch.workspaces import usages
 
 
 def build_request(number, seconds=5.0):
@@ -376,6 +377,18 @@
         self.assertEqual(leaving, [False, True])
         self.assertEqual(self.reports[2][1], frames.LevelSum(True, shed_shares))
 
+    async def test_use_of_quotas_reaches_relays_and_daemons(self):
+        """Guards against a total of all daemons that no daemon takes in."""
+        entries = (usages.WorkspaceUsage("w", (0, 150, 0, 25), 120),)
+        total = frames.UsageSum(True, usages.UsageTotal(3, entries))
+        await self.peer.call(build_request(1))
+        count = len(self.reports)
+        self.peer.send_if_connected(frames.Usages(entries))
+        self.called.broadcast(total)
+        await self.wait_until(lambda: self.levels and len(self.reports) > count)
+        self.assertEqual(self.levels, [("127.0.0.1:1", frames.Usages(entries))])
+        self.assertEqual(self.reports[count][1], total)
+
     async def test_levels_reported_by_a_caller(self):
         """A daemon reports its levels to its relay over its own connection.
 
--- a/test/emulator/test_workspaces.py
+++ b/test/emulator/test_workspaces.py
@@ -1,8 +1,8 @@
 """End-to-end tests of the keys of workspaces on the emulated platform."""
 
 import asyncio
-import contextlib
 import io
+import logging as std_logging
 import os
 import tempfile
 import unittest
@@ -181,21 +181,23 @@
         verbosity = logging.get_verbosity()
         self.addCleanup(logging.set_verbosity, verbosity)
         logging.set_verbosity(logging.DEBUG)
-        with contextlib.redirect_stderr(io.StringIO()) as text:
-            handler = logging.get_absl_handler().python_handler
-            stream, handler.stream = handler.stream, text
-            self.addCleanup(setattr, handler, "stream", stream)
-            for member in self.mesh.find("front"):
-                member.backend.faults = backend.Faults(shed=0.2, fail=0.2, lose=0.2)
-            for kind in (BROWSE, PAY, BROWSE._replace(key="unknown-key-text")):
-                await self.send(kind)
-            self.mesh.members[0].backend.crash()
-            await self.send(BROWSE)
-            broken = build_configuration("r5", one=[FIRST_KEY], two=[FIRST_KEY])
-            self.mesh.configure(broken)
-            broken = build_configuration("r6", one=[FIRST_KEY, 7], two=[])
-            self.mesh.configure(broken)
-            await asyncio.sleep(0.5)
+        text = io.StringIO()
+        handler = std_logging.StreamHandler(text)
+        logger = logging.get_absl_logger()
+        logger.addHandler(handler)
+        self.addCleanup(logger.removeHandler, handler)
+        for member in self.mesh.find("front"):
+            member.backend.faults = backend.Faults(shed=0.2, fail=0.2, lose=0.2)
+        for kind in (BROWSE, PAY, BROWSE._replace(key="unknown-key-text")):
+            await self.send(kind)
+        self.mesh.members[0].backend.crash()
+        await self.send(BROWSE)
+        broken = build_configuration("r5", one=[FIRST_KEY], two=[FIRST_KEY])
+        self.mesh.configure(broken)
+        broken = build_configuration("r6", one=[FIRST_KEY, 7], two=[])
+        self.mesh.configure(broken)
+        await asyncio.sleep(0.5)
+        self.assertIn("unidentified", text.getvalue())
         with open(path, encoding="utf-8") as file:
             written = file.read() + text.getvalue()
         for member in self.mesh.members:
--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -52,6 +52,21 @@
             self.graph.observe("status", BACKEND, 0.6, 0.0)
             self.assertFalse(self.graph.observe("queue", BACKEND, 0.7, 0.0))
 
+    def test_keys_show_at_once_which_requests_come_from_callers(self):
+        """Guards against guessing where a request tells whose it is."""
+        self.graph.start("a", run("index", 9.0), 0.0)
+        self.graph.record_caller("browse", CALLER, is_entry=True)
+        self.assertTrue(self.graph.is_entry("browse"))
+        self.assertTrue(self.graph.observe("status", CALLER, 0.6, 0.0))
+        self.assertFalse(self.graph.observe("queue", BACKEND, 0.7, 0.0))
+
+    def test_key_on_a_called_route_makes_no_entry(self):
+        """Guards against a caller that makes nested calls look like roots."""
+        self.graph.start("a", run("index", 9.0), 0.0)
+        self.graph.record_caller("queue", CALLER, is_entry=False)
+        self.assertFalse(self.graph.is_entry("queue"))
+        self.assertFalse(self.graph.observe("queue", BACKEND, 0.7, 0.0))
+
     def test_single_observation_makes_no_entry(self):
         """A request reaches its deadline just before its last call arrives.
 
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -8,6 +8,7 @@
 neither. Both are inferred from deadlines, because a call expires together with the
 request that made it, or earlier where the call has a shorter timeout itself:
 
+- A request that carries the key of a workspace can't be a call.
 - A request that expires later than every request that runs here can't be a call. Its
   connection then belongs to a caller, and so does every other request on it.
 - A call with the same deadline as a running request belongs to that request, unless
@@ -328,6 +329,20 @@
                 self._entries.add(route)
         return is_from_caller
 
+    def record_caller(self, route, connection, is_entry):
+        """Record the arrival of a request that shows that it comes from a caller.
+
+        Args:
+            route: Name of its route.
+            connection: Number of the connection that it came on.
+            is_entry: Whether all requests of the route come from callers.
+        """
+        if is_entry and len(self._entries) < MAX_ROUTES:
+            self._entries.add(route)
+        self._caller_requests[connection] = MIN_CALLER_REQUESTS
+        if len(self._caller_requests) > MAX_CONNECTIONS:
+            self._caller_requests.popitem(last=False)
+
     def is_entry(self, route):
         """Return whether callers use a route, as observed or reported."""
         return route in self._entries
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -27,7 +27,14 @@
 CLEANUP_INTERVAL_SECONDS = 0.25
 # Messages that daemons send to a relay, relays to each other, and, of crashes, callers
 # to the daemon that is to run suspect work.
-RELAYED_KINDS = (frames.Levels, frames.LevelSum, frames.Graph, frames.Crash)
+RELAYED_KINDS = (
+    frames.Levels,
+    frames.LevelSum,
+    frames.Graph,
+    frames.Crash,
+    frames.Usages,
+    frames.UsageSum,
+)
 
 
 class FinishedCall(NamedTuple):
--- a/whinwinch/daemons/frames.py
+++ b/whinwinch/daemons/frames.py
@@ -12,6 +12,7 @@
 
 from .. import callgraph, crashes, messages, reportedlevels
 from ..logservice import keyed
+from ..workspaces import usages as workspace_usages
 
 # Maximum size of a message, which may contain a request or answer with its body.
 MAX_FRAME_BYTES = 64 << 20
@@ -124,6 +125,28 @@
     record: crashes.CrashRecord
 
 
+class Usages(NamedTuple):
+    """Use of the quotas of workspaces at the sender.
+
+    Attributes:
+        usages: `workspaces.usages.WorkspaceUsage` tuples.
+    """
+
+    usages: tuple[workspace_usages.WorkspaceUsage, ...]
+
+
+class UsageSum(NamedTuple):
+    """Use of the quotas of workspaces at several daemons, summed by a relay.
+
+    Attributes:
+        is_total: As in `LevelSum`.
+        total: The `workspaces.usages.UsageTotal`.
+    """
+
+    is_total: bool
+    total: workspace_usages.UsageTotal
+
+
 class Gossip(NamedTuple):
     """A gossip message.
 
@@ -195,6 +218,8 @@
     LevelSum,
     Graph,
     Crash,
+    Usages,
+    UsageSum,
 )
 TOPIC_KINDS = (TopicEnd, TopicAsk, TopicRecords)
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
@@ -300,6 +325,14 @@
             bool(is_total),
             tuple(_decode_route_shedding(*route) for route in shed_shares),
         )
+    if kind is Usages:
+        (entries,) = fields
+        return Usages(tuple(_decode_usage(*entry) for entry in entries))
+    if kind is UsageSum:
+        is_total, (daemons, entries) = fields
+        usages = tuple(_decode_usage(*entry) for entry in entries)
+        total = workspace_usages.UsageTotal(_check_non_negative(daemons), usages)
+        return UsageSum(bool(is_total), total)
     if kind in (TopicEnd, TopicAsk):
         topic, offset = fields
         return kind(_check_text(topic), _check_non_negative(offset))
@@ -332,6 +365,15 @@
     return reportedlevels.RouteShedding(_check_text(route), shed_shares)
 
 
+def _decode_usage(workspace, demand, admitted):
+    rates = tuple(map(_check_non_negative, demand))
+    if len(rates) != len(_IMPORTANCES):
+        raise ValueError("expected one rate for each importance")
+    return workspace_usages.WorkspaceUsage(
+        _check_text(workspace), rates, _check_non_negative(admitted)
+    )
+
+
 def _check_text(text):
     if type(text) is not str:
         raise ValueError("expected a string")
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -56,6 +56,7 @@
 REPORT_KINDS = (
     frames.News,
     frames.LevelSum,
+    frames.UsageSum,
     frames.Graph,
     frames.Crash,
     *frames.TOPIC_KINDS,
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -51,6 +51,33 @@
     version: int
 
 
+class OverQuota(NamedTuple):
+    """A request was refused because its workspace has used its quota.
+
+    Attributes:
+        rate: Rate of the quota in requests a second.
+        demand: Requests a second that arrive at all daemons that are heard.
+        admitted: Those of them that are admitted.
+        daemons: Daemons that are heard, 0 if this one is alone.
+        age: Seconds since the last report of the others.
+        version: Version of the configuration in force.
+    """
+
+    root: str
+    attempt: str
+    call: str
+    importance: str
+    workspace: str
+    reason: str
+    retry_after: float
+    rate: float
+    demand: float
+    admitted: float
+    daemons: int
+    age: float
+    version: int
+
+
 class Answered(NamedTuple):
     """An attempt was answered, with the decision on whether it is retried."""
 
@@ -127,6 +154,35 @@
     )
 
 
+def log_over_quota(request, reason, retry_after, state, version):
+    """Log that a request is refused because its workspace has used its quota.
+
+    Args:
+        request: The `messages.Request`.
+        reason: `messages.Reason` of the refusal.
+        retry_after: Seconds after which the caller may retry.
+        state: `workspaces.ledger.QuotaState`.
+        version: Version of the configuration in force.
+    """
+    log_decision(
+        OverQuota(
+            request.root,
+            request.attempt,
+            request.call,
+            request.importance.name,
+            state.workspace,
+            reason.value,
+            retry_after,
+            state.rate,
+            state.demand,
+            state.admitted,
+            state.daemons,
+            state.age,
+            version,
+        )
+    )
+
+
 def log_answer(attempt, answer, endpoint, time_left, again, ground):
     """Log an answer other than a success, and whether the request is retried.
 
--- a/whinwinch/explanations.py
+++ b/whinwinch/explanations.py
@@ -15,7 +15,7 @@
 # Events that are shown as context of a daemon's decisions.
 CONTEXT_EVENTS = ("configuration", "dependency", "backend", "stop", "start", "reload")
 # Events of requests that are refused at their entry.
-FINAL_EVENTS = frozenset({"refused", "unidentified"})
+FINAL_EVENTS = frozenset({"refused", "unidentified", "overquota"})
 # Seconds before the first decision from which such events are shown.
 MAX_CONTEXT_AGE = 10.0
 # Fields that are not shown as ``name=value``.
@@ -52,6 +52,7 @@
     Reason.CAUSES_CRASHES: "backend servers crash when they run it",
     Reason.UNKNOWN_KEY: "it carries no key that a workspace of the configuration in "
     "force holds",
+    Reason.QUOTA: "its workspace asked for more than its quota allows",
     Reason.DEEPER: "a service further down the call graph refused a call made for it",
 }
 
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -24,13 +24,13 @@
     subsets,
 )
 from .backends.guard import Backend, Guard
-from .daemons import exchange, frames, links, topics, traffic
+from .daemons import exchange, frames, links, relays, topics, traffic
 from .forwarding import Forwarder
 from .logservice import sources
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 from .reportedlevels import ReportedLevels
-from .workspaces import registry
+from .workspaces import ledger, registry, reporting
 
 # Share of a route's objective that a nested call may wait for a slot. The waits of
 # sequential calls of one request add up: with a larger share, admitted requests are
@@ -119,11 +119,20 @@
         backend_address: `settings.Address` of the backend server.
         dialect: `backends.guard.Dialect`.
         repeat_limits: `repeats.RepeatLimits` of all services.
+        quota_terms: `workspaces.quotas.QuotaTerms` of all workspaces.
         handle_leave: Function called with the identifier of the local backend server
             when it says in an answer that it leaves.
     """
 
-    def __init__(self, location, backend_address, dialect, repeat_limits, handle_leave):
+    def __init__(
+        self,
+        location,
+        backend_address,
+        dialect,
+        repeat_limits,
+        quota_terms,
+        handle_leave,
+    ):
         self._loop = asyncio.get_running_loop()
         self.location = location
         self.table = routes.RouteTable()
@@ -161,7 +170,9 @@
             sent_traffic=self.traffic,
         )
         self.topics = topics.Topics(self._broadcast)
-        self._sources = sources.Sources(True, (), location.address)
+        self._relays = relays.Relays(
+            location.address, self.peers, self.exchange, self._is_in_local_zone
+        )
         # Identifier of the last daemon that connected from each address. It is new at
         # every start of a daemon.
         self._connected_daemons = {}
@@ -175,6 +186,14 @@
             self._reported_levels,
             self.crash_history,
         )
+        self.ledger = ledger.Ledger(quota_terms, self._count_daemons, self._loop.time())
+        self.quota_reporting = reporting.Reporting(
+            self.ledger,
+            self._relays,
+            location.address,
+            self._count_daemons,
+            lambda: bool(self.workspaces.workspaces),
+        )
         self.is_stopping = False
         self._is_leaving = False
         self._started_at = self._loop.time()
@@ -205,6 +224,7 @@
         events.write("configuration", change)
         self.table = table
         self.workspaces = workspaces
+        self.ledger.install(workspaces, self._loop.time())
         self._table_installed_at = self._loop.time()
         self.round_robin.prune(table)
         self._routes = {route.name: route for route in table.routes}
@@ -260,15 +280,32 @@
         Returns:
             The `messages.Answer`.
         """
-        parent = self._find_parent(request, connection, expires)
+        parent = self._find_parent(request, route, connection, expires)
         if parent is None:
-            return await self.forwarder.serve(request, route.max_endpoints)
+            return await self._serve_root(request, route)
         try:
             call = self._inherit(request, parent)
             return await self.forwarder.serve(call, route.max_endpoints)
         finally:
             self.graph.end_call(parent, connection, self._loop.time())
 
+    async def _serve_root(self, request, route):
+        """Serve a caller's request within the quota of its workspace."""
+        if not self.ledger.try_spend(request, self._loop.time()):
+            return self._refuse_beyond_quota(request)
+        answer = await self.forwarder.serve(request, route.max_endpoints)
+        if answer.outcome is Outcome.NOT_RUN:
+            self.ledger.refund(request, self._loop.time())
+        return answer
+
+    def _refuse_beyond_quota(self, request):
+        reason = Reason.QUOTA
+        seconds = self.ledger.find_retry_after(request)
+        self.forwarder.refused[messages.Refusal(request.call, reason)] += 1
+        state = self.ledger.read_state(request.caller, self._loop.time())
+        decisions.log_over_quota(request, reason, seconds, state, self.table.version)
+        return build_failure(request, Outcome.NOT_RUN, reason, retry_after=seconds)
+
     async def stop(self, servers, seconds, leave):
         """Finish the requests in flight, then stop serving.
 
@@ -338,13 +375,17 @@
         self.directory.apply_report(self.location.address, self.endpoint)
         self.exchange.publish_news(frames.News(self.endpoint))
 
-    def _find_parent(self, request, connection, expires):
+    def _find_parent(self, request, route, connection, expires):
         """Record a call in the call graph and return its `callgraph.Parent`.
 
         Returns:
             None for a root request.
         """
         now, call = self._loop.time(), request.call
+        if request.caller:
+            # Calls of backend servers carry no key.
+            self.graph.record_caller(call, connection, is_entry=not route.is_public)
+            return None
         if self.graph.observe(call, connection, expires, now):
             return None
         backend = self.guard.backend
@@ -384,7 +425,9 @@
     def _apply_relayed(self, address, frame):
         """Apply a frame that a daemon sent to its relay or a relay to daemons."""
         now = self._loop.time()
-        if isinstance(frame, frames.Crash):
+        if isinstance(frame, (frames.Usages, frames.UsageSum)):
+            self.quota_reporting.apply(address, frame, now)
+        elif isinstance(frame, frames.Crash):
             self.crash_history.apply(frame.record, now)
         elif isinstance(frame, frames.Graph):
             self.graph.merge_topology(frame.topology)
@@ -408,10 +451,7 @@
                 self._reported_levels.record_levels(
                     self.location.address, levels, self._loop.time(), available
                 )
-                if not self._sources.is_relay:
-                    self.peers.find(self._sources.reader).send_if_connected(
-                        frames.Levels(levels, available)
-                    )
+                self._relays.report(frames.Levels(levels, available))
             reported = levels
 
     async def relay_levels(self):
@@ -419,7 +459,7 @@
         sent = ()
         while True:
             await asyncio.sleep(RELAY_INTERVAL)
-            sent = self._send_level_sums(sent) if self._sources.is_relay else ()
+            sent = self._send_level_sums(sent) if self._relays.is_relay else ()
 
     def _send_level_sums(self, sent):
         """Send the zone's sum of levels to other relays, and the total to the zone.
@@ -437,13 +477,8 @@
             self._reported_levels.sum_all(now),
         )
         if total or sent:
-            for address in self._sources.other_readers:
-                self.peers.find(address).send_if_connected(
-                    frames.LevelSum(False, zone_sum)
-                )
-            self.exchange.broadcast(
-                frames.LevelSum(True, total), self._is_in_local_zone
-            )
+            self._relays.tell_relays(frames.LevelSum(False, zone_sum))
+            self._relays.tell_zone(frames.LevelSum(True, total))
             self._reported_levels.record_total(total, now)
         return total
 
@@ -456,28 +491,28 @@
         sent, next_repeat = None, 0.0
         while True:
             await asyncio.sleep(GRAPH_INTERVAL)
-            topology, reader = self.graph.export_topology(), self._sources.reader
+            topology = self.graph.export_topology()
+            reader = self._relays.sources.reader
             now = self._loop.time()
             if (topology, reader) != sent or now >= next_repeat:
                 self._send_topology(frames.Graph(topology))
                 sent, next_repeat = (topology, reader), now + GRAPH_REPEAT_INTERVAL
 
     def _send_topology(self, frame):
-        if not self._sources.is_relay:
-            self.peers.find(self._sources.reader).send_if_connected(frame)
+        if not self._relays.is_relay:
+            self._relays.report(frame)
             return
-        for address in self._sources.other_readers:
-            self.peers.find(address).send_if_connected(frame)
-        self.exchange.broadcast(frame, self._is_in_local_zone)
+        self._relays.tell_relays(frame)
+        self._relays.tell_zone(frame)
 
     @property
     def reader_rank(self):
         """Index of the local group of daemons among all groups with a reader each."""
-        return self._sources.group_index
+        return self._relays.sources.group_index
 
     def is_reader(self):
         """Return whether this daemon reads the log for other daemons."""
-        return self._sources.is_reader
+        return self._relays.sources.is_reader
 
     async def maintain_sources(self):
         """Choose readers of the log and stay connected to them until cancelled."""
@@ -486,8 +521,9 @@
             if self.directory.all_endpoints is not listed:
                 listed = self.directory.all_endpoints
                 ranks = sources.Ranks(self.location.address, self.location.zone, listed)
-            self._sources = ranks.choose(self._is_up, self.exchange.find_addresses)
-            for address in self._sources.peer_addresses:
+            chosen = ranks.choose(self._is_up, self.exchange.find_addresses)
+            self._relays.sources = chosen
+            for address in chosen.peer_addresses:
                 self.peers.find(address).keep_connected()
             for address in self.peers.drop_unused(self._loop.time()):
                 self.directory.discard_report(address)
@@ -517,7 +553,7 @@
         it.
         """
         self.exchange.broadcast(frame)
-        for address in self._sources.peer_addresses:
+        for address in self._relays.sources.peer_addresses:
             self.peers.find(address).send_if_connected(frame)
 
     def _apply_topic(self, reply, frame):
@@ -545,6 +581,9 @@
             await asyncio.sleep(loadlog.LOG_INTERVAL_SECONDS)
             loadlog.write_load(meter.read(self._loop.time()))
 
+    def _count_daemons(self):
+        return len(self.directory.all_endpoints)
+
     def _count_endpoints(self):
         """Return the number of endpoints of the local backend server's service."""
         backend = self.guard.backend
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -65,6 +65,7 @@
     SUSPECT = "suspect-of-crashes"
     CAUSES_CRASHES = "crashes-backends"
     UNKNOWN_KEY = "unknown-key"
+    QUOTA = "workspace-quota"
 
 
 class Refusal(NamedTuple):
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -46,7 +46,7 @@
 _WRONG_BACKEND = 421
 _UNAUTHORIZED = 401
 # Statuses of refusals, 503 for the reasons that aren't listed.
-_REFUSAL_STATUSES = {Reason.UNKNOWN_KEY: _UNAUTHORIZED}
+_REFUSAL_STATUSES = {Reason.UNKNOWN_KEY: _UNAUTHORIZED, Reason.QUOTA: 429}
 # Seconds that a caller waits if its request has no deadline header.
 DEFAULT_TIMEOUT = 60.0
 
@@ -54,6 +54,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    429: "Too Many Requests",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -111,6 +111,7 @@
                 dialect.read_notice,
             ),
             instance_settings.repeats,
+            instance_settings.quotas,
             self._handle_leave,
         )
         self._followed_configuration = self._follow(
@@ -212,6 +213,8 @@
             instance.report_levels,
             instance.relay_levels,
             instance.report_topology,
+            instance.quota_reporting.report_usages,
+            instance.quota_reporting.relay_usages,
             self._keep_topology_record,
             instance.log_load,
             instance.maintain_sources,
--- a/whinwinch/platform/settings.py
+++ b/whinwinch/platform/settings.py
@@ -12,6 +12,7 @@
 from ..errors import Finding, UserError, raise_findings
 from ..repeats import RepeatLimits
 from ..settings import Address
+from ..workspaces.quotas import QuotaTerms
 from .values import parse_address, parse_duration, parse_first_port
 
 # Environment variable that holds the path of the settings file.
@@ -34,6 +35,7 @@
         metrics: Port of the metrics page, on the host of `daemons`; 0 for none.
         store: Address of the platform's store.
         repeats: `repeats.RepeatLimits` of all services.
+        quotas: `workspaces.quotas.QuotaTerms` of all workspaces.
         drain: Time after which a leaving backend server receives no more requests.
         stop_grace: Time from the stop signal until the process is killed.
     """
@@ -50,6 +52,7 @@
     metrics: int
     store: Address
     repeats: RepeatLimits
+    quotas: QuotaTerms
     drain: float
     stop_grace: float
 
@@ -86,6 +89,9 @@
     _Field("terms.bounds.retry_budget_ratio", "ratio", float, "0.1"),
     _Field("terms.bounds.budget_slack", "slack", float, "0"),
     _Field("terms.bounds.budget_window", "window", parse_duration, "10s"),
+    _Field("terms.bounds.quota_window", "quota_window", parse_duration, "5s"),
+    _Field("terms.bounds.quota_overage", "quota_overage", float, "0"),
+    _Field("terms.bounds.quota_slack", "quota_slack", float, "0"),
     _Field("terms.bounds.drain", "drain", parse_duration, "2s"),
     _Field("terms.bounds.grace", "stop_grace", parse_duration, "6s"),
 )
@@ -129,4 +135,5 @@
             findings.append(Finding(field.name, str(error)))
     raise_findings("invalid settings", findings)
     repeats = RepeatLimits(*(values.pop(name) for name in RepeatLimits._fields))
-    return InstanceSettings(**values, repeats=repeats)
+    quotas = QuotaTerms(*(values.pop(f"quota_{name}") for name in QuotaTerms._fields))
+    return InstanceSettings(**values, repeats=repeats, quotas=quotas)
--- a/whinwinch/tokens.py
+++ b/whinwinch/tokens.py
@@ -38,6 +38,11 @@
         self._tokens -= 1.0
         return True
 
+    def refund(self, now):
+        """Give back a token that was not used."""
+        self._refill(now)
+        self._tokens = min(self._burst, self._tokens + 1.0)
+
     def find_wait(self, now):
         """Return the seconds until a whole token is left."""
         self._refill(now)
