Let quotas use what their windows allow

What a window allows beyond the rate, and half of the allowance, is divided into a rate and a burst; a rate that has just begun to be taken is no longer read too low, which let a restart of all daemons admit 156 where 152 are allowed.

--- a/whinwinch/workspaces/quotas.py
+++ b/whinwinch/workspaces/quotas.py
@@ -24,6 +24,8 @@
 
 # Time constant in seconds of the rates that daemons tell each other.
 RATE_SECONDS = 0.5
+# Shortest time since the start over which a rate is taken.
+MIN_RATE_SECONDS = 0.1
 # Seconds over which the tokens of the shared bucket are spent: long enough that no
 # daemon spends tokens that the others have spent since their last report.
 SPENDING_SECONDS = 1.0
@@ -38,9 +40,12 @@
 MAX_RETRY_SECONDS = 2.0
 # Share of the quota that a workspace is taken to use while it isn't busy.
 ASSUMED_SHARE = 0.5
-# Share of the slack that belongs to the shared bucket. A quota of a few requests a
-# second would else be refused to callers who come together by chance.
-USED_SLACK_SHARE = 0.5
+# Part of the allowance of a window that the shared bucket uses. The rest covers what
+# daemons admit before they hear of each other.
+USED_ALLOWANCE_SHARE = 0.5
+# Part of what a window allows beyond the rate that may come at once; the other part
+# comes evenly.
+BURST_SHARE = 0.5
 NO_DEMAND = (0.0,) * IMPORTANCE_COUNT
 
 
@@ -58,6 +63,20 @@
     slack: float = 0.0
 
 
+class Limits(NamedTuple):
+    """What a quota and the terms allow in windows, as token buckets.
+
+    Attributes:
+        rate: Tokens a second of the bucket that all daemons share.
+        burst: Its maximum of tokens.
+        spare: Requests of a window that neither of them uses.
+    """
+
+    rate: float
+    burst: float
+    spare: float
+
+
 class Usage(NamedTuple):
     """Use of a workspace's quota, by one daemon or summed over several.
 
@@ -91,13 +110,13 @@
 
 
 class DecayedRate:
-    """A rate of events, over about the last `RATE_SECONDS`."""
+    """A rate of events, over about the last `RATE_SECONDS` since a start."""
 
-    __slots__ = ("_count", "_time")
+    __slots__ = ("_count", "_started_at", "_time")
 
     def __init__(self, now):
         self._count = 0.0
-        self._time = now
+        self._time = self._started_at = now
 
     def add(self, now, count=1.0):
         """Add events; a negative count takes events back."""
@@ -107,7 +126,8 @@
     def read(self, now):
         """Return the events a second."""
         self._decay(now)
-        return self._count / RATE_SECONDS
+        seconds = max(now - self._started_at, MIN_RATE_SECONDS)
+        return self._count / (RATE_SECONDS * -math.expm1(-seconds / RATE_SECONDS))
 
     def _decay(self, now):
         self._count *= math.exp((self._time - now) / RATE_SECONDS)
@@ -130,13 +150,16 @@
 
     def __init__(self, quota, terms, started_at):
         self.quota = quota
+        self._limits = plan_limits(quota, terms)
         # A daemon that has just started doesn't know what the others have admitted.
         self.tokens = 0.0
         self._terms = terms
         self._demand = [DecayedRate(started_at) for _ in range(IMPORTANCE_COUNT)]
         self._admitted = DecayedRate(started_at)
         # What this daemon admits at most, whatever it hears.
-        self._own_bucket = TokenBucket(quota.rate, self._find_burst(), started_at)
+        self._own_bucket = TokenBucket(
+            self._limits.rate, max(1.0, self._limits.burst), started_at
+        )
         # Of a daemon that hears nobody, and whether it last was one.
         self._tokens_alone = 0.0
         self._is_alone = False
@@ -146,7 +169,9 @@
         """Apply the quota of a new configuration."""
         if quota != self.quota:
             self.quota = quota
-            self._own_bucket.change(quota.rate, self._find_burst(), now)
+            self._limits = plan_limits(quota, self._terms)
+            burst = max(1.0, self._limits.burst)
+            self._own_bucket.change(self._limits.rate, burst, now)
 
     def advance(self, view, now):
         """Move the buckets on to `now`, as the use in a new `View` implies.
@@ -154,14 +179,14 @@
         Called with each report: the use that it tells is that of a moment.
         """
         elapsed, self._time = now - self._time, now
-        rate = self.quota.rate
+        rate = self._limits.rate
         if not view.heard_daemons:
             self._advance_alone(elapsed, view.all_daemons)
             return
         self._is_alone = False
         admitted = view.total.admitted if view.total else ASSUMED_SHARE * rate
         tokens = self.tokens + elapsed * (view.part * rate - admitted)
-        most = view.part * self._find_burst()
+        most = view.part * self._limits.burst
         self.tokens = min(max(tokens, -MAX_DEBT_SECONDS * rate), most)
 
     def try_spend(self, request, view, now):
@@ -198,34 +223,23 @@
 
     def find_retry_after(self):
         """Return the seconds until a debt is paid and one more token is there."""
-        seconds = (1.0 - min(0.0, self.tokens)) / self.quota.rate
+        seconds = (1.0 - min(0.0, self.tokens)) / self._limits.rate
         return min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
 
     def _advance_alone(self, elapsed, all_daemons):
         """Move the bucket of a daemon that hears nobody on by some seconds."""
-        rate, burst = self.quota
-        allowance = self._find_allowance() / all_daemons
+        rate, burst, spare = self._limits
         if not self._is_alone:
             # The burst may have been spent: by all daemons together, or by this one
             # before it started again.
             self._is_alone = True
-            self._tokens_alone = allowance
+            self._tokens_alone = spare / all_daemons
             self.tokens = min(self.tokens, 0.0)
             return
-        most = allowance + burst / all_daemons
+        most = (burst + spare) / all_daemons
         gained = elapsed * rate / all_daemons
         self._tokens_alone = min(self._tokens_alone + gained, most)
 
-    def _find_allowance(self):
-        """Return the requests of a window by which the quota may be exceeded."""
-        rate, burst = self.quota
-        terms = self._terms
-        return terms.overage * (rate * terms.window + burst) + terms.slack
-
-    def _find_burst(self):
-        """Return the most tokens of the bucket that all daemons share."""
-        return max(1.0, self.quota.burst + USED_SLACK_SHARE * self._terms.slack)
-
     def _find_chance(self, importance, view, now):
         """Return the share of the requests of an importance that are admitted."""
         if not view.heard_daemons:
@@ -234,8 +248,25 @@
             return self._tokens_alone
         if view.total is None:
             return 1.0
-        left = view.part * self.quota.rate + self.tokens / SPENDING_SECONDS
+        left = view.part * self._limits.rate + self.tokens / SPENDING_SECONDS
         demand = view.total.demand
         left -= sum(demand[importance + 1 :])
         wanted = max(demand[importance], self._demand[importance].read(now))
         return left / wanted
+
+
+def plan_limits(quota, terms):
+    """Return the `Limits` that use what a window of a quota allows.
+
+    A quota counts in windows: its burst is there anew in each of them. A bucket of the
+    quota's own rate would refuse callers what a window still allows.
+
+    Args:
+        quota: `registry.Quota`.
+        terms: `QuotaTerms`.
+    """
+    within = quota.rate * terms.window + quota.burst
+    allowance = terms.overage * within + terms.slack
+    extra = quota.burst + USED_ALLOWANCE_SHARE * allowance
+    rate = quota.rate + (1.0 - BURST_SHARE) * extra / terms.window
+    return Limits(rate, BURST_SHARE * extra, (1.0 - USED_ALLOWANCE_SHARE) * allowance)
