Let preferred workspaces go before routes' importance

The platform's page lets a workspace's priority take precedence over the route's, and daemons did not read it. Workspaces of priority 0 are preferred: their requests have an importance above all others, in the same order of routes, which nested calls inherit where all possible parents are preferred. Tests of levels and demand get the longer lists; their checks stay.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -22,6 +22,7 @@
     Request,
     build_failure,
 )
+from whinwinch.reportedlevels import NO_SHED_SHARES
 from whinwinch.subsets import Reachability
 from whinwinch.workspaces import usages
 
@@ -370,7 +371,9 @@
     async def test_news_and_levels(self):
         await self.peer.call(build_request(1))
         self.called.publish_news(frames.News(Endpoint("x", "x", "s", leaving=True)))
-        shed_shares = (reportedlevels.RouteShedding("c", (1000, 500, 0, 0, 0, 0)),)
+        shed_shares = (
+            reportedlevels.RouteShedding("c", (1000, 500, *NO_SHED_SHARES[2:])),
+        )
         self.called.broadcast(frames.LevelSum(True, shed_shares))
         await self.wait_until(lambda: len(self.reports) == 3)
         leaving = [news.endpoint.leaving for _, news in self.reports[:2]]
@@ -379,7 +382,7 @@
 
     async def test_use_of_quotas_reaches_relays_and_daemons(self):
         """Guards against a total of all daemons that no daemon takes in."""
-        entries = (usages.WorkspaceUsage("w", (0, 150, 0, 25), 120),)
+        entries = (usages.WorkspaceUsage("w", (0, 150, 0, 25, 0, 0, 0, 0), 120),)
         total = frames.UsageSum(True, usages.UsageTotal(3, entries))
         await self.peer.call(build_request(1))
         count = len(self.reports)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -8,7 +8,13 @@
 
 from whinwinch import admission
 
-RATES = st.lists(st.floats(0.0, 1000.0), min_size=4, max_size=4)
+COUNT = admission.IMPORTANCE_COUNT
+RATES = st.lists(st.floats(0.0, 1000.0), min_size=COUNT, max_size=COUNT)
+
+
+def build_rates(*rates):
+    """Return the rates of the lowest importances, and 0 for the others."""
+    return [*rates, *(COUNT - len(rates)) * [0.0]]
 
 
 class FindLevelsTest(unittest.TestCase):
@@ -24,7 +30,9 @@
         self.assertAlmostEqual(admitted, min(wanted, capacity), places=3)
 
     def test_most_important_class_is_cut_last(self):
-        (level,) = admission.find_levels([([100.0, 100.0, 0.0, 50.0], 1)], 100.0)
+        (level,) = admission.find_levels(
+            [(build_rates(100.0, 100.0, 0.0, 50.0), 1)], 100.0
+        )
         self.assertAlmostEqual(level, 1.5)
 
     def test_hot_group_cannot_take_the_share_of_others(self):
@@ -32,8 +40,8 @@
 
         A common level would refuse half of the requests of the nine others.
         """
-        others = [0.0, 45.0, 0.0, 0.0], 9
-        hot = [0.0, 200.0, 0.0, 0.0], 1
+        others = build_rates(0.0, 45.0), 9
+        hot = build_rates(0.0, 200.0), 1
         levels = admission.find_levels([others, hot], 100.0)
         self.assertEqual(levels[0], 1.0)
         self.assertAlmostEqual(levels[1], 2.0 - 55.0 / 200.0)
--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -3,12 +3,14 @@
 import unittest
 
 from whinwinch import callgraph
+from whinwinch.messages import Importance
 
 # Connections of a caller and of the local backend server.
 CALLER, BACKEND = 1, 2
 
 
 def run(route, deadline, importance=1, root=""):
+    importance = Importance(importance)
     return callgraph.RunningRequest(route, root or route, importance, deadline)
 
 
--- a/test/test_fairness.py
+++ b/test/test_fairness.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from whinwinch import fairness, messages
+from whinwinch import admission, fairness, messages
 
 
 def make_request(index, caller, path="/"):
@@ -40,7 +40,7 @@
         if rank >= shares.level(request):
             shares.record(request, rank, now)
         if now > next_update:
-            shares.update(capacity, (0.0,) * 4, now)
+            shares.update(capacity, (0.0,) * admission.IMPORTANCE_COUNT, now)
             next_update = now + 0.05
 
 
--- a/test/test_reportedlevels.py
+++ b/test/test_reportedlevels.py
@@ -88,9 +88,19 @@
         """
         self.reported_levels.record_levels("h:1", (("c", 1.0),), 1.0)
         self.reported_levels.record_relay_sum(
-            "far", (reportedlevels.RouteShedding("c", (5000, 0, 0, 0, 0, 0)),), 1.0
+            "far",
+            (
+                reportedlevels.RouteShedding(
+                    "c", (5000, *reportedlevels.NO_SHED_SHARES[1:])
+                ),
+            ),
+            1.0,
+        )
+        shed_shares = (
+            reportedlevels.RouteShedding(
+                "c", (1000, *reportedlevels.NO_SHED_SHARES[1:])
+            ),
         )
-        shed_shares = (reportedlevels.RouteShedding("c", (1000, 0, 0, 0, 0, 0)),)
         self.assertEqual(self.reported_levels.sum_daemons(1.1), shed_shares)
 
     def test_sum_of_a_stopped_relay_expires(self):
@@ -99,7 +109,13 @@
         If its sum counted for ever, callers would be kept from idle endpoints.
         """
         self.reported_levels.record_relay_sum(
-            "far", (reportedlevels.RouteShedding("c", (2000, 0, 0, 0, 0, 0)),), 1.0
+            "far",
+            (
+                reportedlevels.RouteShedding(
+                    "c", (2000, *reportedlevels.NO_SHED_SHARES[1:])
+                ),
+            ),
+            1.0,
         )
         self.assertNotEqual(self.reported_levels.sum_all(1.1), ())
         self.assertEqual(
@@ -109,7 +125,12 @@
 
     def test_levels_of_daemons_count_while_no_relay_reports(self):
         self.reported_levels.record_total(
-            (reportedlevels.RouteShedding("c", (0, 0, 0, 0, 0, 0)),), 1.0
+            (
+                reportedlevels.RouteShedding(
+                    "c", (0, *reportedlevels.NO_SHED_SHARES[1:])
+                ),
+            ),
+            1.0,
         )
         self.reported_levels.record_levels("h:1", (("c", 1.0),), 2.0)
         self.reported_levels.record_levels("h:2", (("c", 1.0),), 2.0)
--- a/test/workspaces/test_registry.py
+++ b/test/workspaces/test_registry.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from whinwinch.messages import Reason
+from whinwinch.messages import Importance, Reason
 from whinwinch.workspaces.keys import digest_key
 from whinwinch.workspaces.registry import NOBODY, Registry, Workspace
 
@@ -31,6 +31,17 @@
         known = self.registry.identify("k1", is_public=True)
         self.assertEqual(known.workspace, ONE)
 
+    def test_preferred_workspace_takes_precedence_over_routes(self):
+        """Guards against a payment of others that goes before a preferred read."""
+        preferred = Workspace("three", (digest_key("k5"),), is_preferred=True)
+        registry = Registry((ONE, preferred))
+        read = registry.identify("k5", False).choose_importance(Importance.NORMAL)
+        payment = registry.identify("k5", False).choose_importance(Importance.CRITICAL)
+        other = registry.identify("k1", False).choose_importance(Importance.CRITICAL)
+        self.assertGreater(payment, read)
+        self.assertGreater(read, other)
+        self.assertIs(other, Importance.CRITICAL)
+
     def test_no_key_is_needed_without_workspaces(self):
         self.assertEqual(Registry().identify(None, is_public=False), NOBODY)
         self.assertEqual(Registry().identify("k1", is_public=False), NOBODY)
--- a/whinwinch/admission.py
+++ b/whinwinch/admission.py
@@ -49,10 +49,11 @@
         """
         retained = math.exp(-elapsed / self._time_constant)
         added_exposure = self._time_constant * (1.0 - retained)
-        for index in range(IMPORTANCE_COUNT):
-            self.counts[index] *= retained
-            self.exposure[index] *= retained
-            self.exposure[index] += added_exposure * widths[index]
+        self.counts = [count * retained for count in self.counts]
+        self.exposure = [
+            exposure * retained + added_exposure * width
+            for exposure, width in zip(self.exposure, widths, strict=True)
+        ]
 
     def rate(self, index):
         """Return the demand of one importance in requests a second.
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -29,6 +29,8 @@
 import math
 from typing import NamedTuple
 
+from .messages import Importance, prefer
+
 # A single observation may be an error: a request may end just before its last call
 # arrives.
 MIN_OBSERVATIONS = 3
@@ -98,7 +100,7 @@
     Attributes:
         route: Name of its route.
         root: Identifier of its root request.
-        importance: Its importance; a higher value is more important.
+        importance: Its `messages.Importance`.
         deadline: When it expires, by the loop's clock in seconds.
         due: When its answer is due, by the loop's clock in seconds.
         is_repeat: Whether it repeats an earlier request.
@@ -106,7 +108,7 @@
 
     route: str
     root: str
-    importance: int
+    importance: Importance
     deadline: float
     due: float = math.inf
     is_repeat: bool = False
@@ -597,8 +599,7 @@
     rounded up. The due time is the earliest of theirs: with that of the chosen run,
     calls of important requests would wait behind calls that are due sooner.
     """
-    importances = [int(other.request.importance) for other in possible]
-    middle = math.ceil((min(importances) + max(importances)) / 2.0)
+    middle = _find_middle([run.request.importance for run in possible])
     chosen_due = run.request.due
     due = min(
         (
@@ -611,5 +612,14 @@
     return _build_parent(run, middle)._replace(importance=middle, due=due)
 
 
+def _find_middle(importances):
+    """Return the midpoint of the declared importances, preferred if all of them are."""
+    declared = [importance.declared for importance in importances]
+    middle = Importance(math.ceil((min(declared) + max(declared)) / 2.0))
+    if all(importance.is_preferred for importance in importances):
+        return prefer(middle)
+    return middle
+
+
 def _find_bucket(deadline):
     return int(deadline / DEADLINE_TOLERANCE_SECONDS)
--- a/whinwinch/levels.py
+++ b/whinwinch/levels.py
@@ -135,7 +135,7 @@
             request: The request, for the level of its caller and path.
 
         Returns:
-            A level from 0, which admits all requests, to 4, to be compared with
+            A level from 0, which admits all requests, to 8, to be compared with
             `messages.rank_request`.
         """
         return self._level(name_tracks("", service, call, request), now)
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -15,12 +15,38 @@
 
 
 class Importance(enum.IntEnum):
-    """Importance of a call; calls of lower importance are shed first."""
+    """Importance of a call; calls of lower importance are shed first.
+
+    The four lower ones are declared by operators. All calls of a preferred workspace
+    go before those of other workspaces, and among themselves in the same order.
+    """
 
     LOW = 0
     NORMAL = 1
     HIGH = 2
     CRITICAL = 3
+    PREFERRED_LOW = 4
+    PREFERRED_NORMAL = 5
+    PREFERRED_HIGH = 6
+    PREFERRED_CRITICAL = 7
+
+    @property
+    def is_preferred(self):
+        """Whether it is that of a preferred workspace."""
+        return self >= Importance.PREFERRED_LOW
+
+    @property
+    def declared(self):
+        """The importance that operators have declared for the call."""
+        return Importance(self % Importance.PREFERRED_LOW)
+
+
+DECLARED_IMPORTANCES = tuple(Importance)[: Importance.PREFERRED_LOW]
+
+
+def prefer(importance):
+    """Return an importance as that of a preferred workspace."""
+    return Importance(importance.declared + Importance.PREFERRED_LOW)
 
 
 class Outcome(enum.Enum):
@@ -256,7 +282,7 @@
     same root requests, instead of each shedding calls of different ones.
 
     Returns:
-        A float from 0 to 4, one unit wide for each importance.
+        A float from 0 to 8, one unit wide for each importance.
     """
     return request.importance + hash_root(request.root)
 
--- a/whinwinch/platform/configuration.py
+++ b/whinwinch/platform/configuration.py
@@ -15,6 +15,8 @@
 # Importance by the platform's priority, of which 0 is the highest. Priorities beyond
 # the last one are LOW.
 _IMPORTANCES = (Importance.CRITICAL, Importance.HIGH, Importance.NORMAL)
+# Priority of the workspaces that go before all others.
+_PREFERRED_PRIORITY = 0
 # Routes of this kind allow requests to run more than once.
 _REPEATABLE_KIND = "safe"
 _KINDS = (_REPEATABLE_KIND, "unsafe")
@@ -98,7 +100,9 @@
     keys = fields.get("api_keys") or ()
     if not all(isinstance(key, str) and key for key in keys):
         raise ValueError("each of its keys must be text")
-    return Workspace(name, tuple(map(digest_key, keys)), _parse_quota(fields))
+    digests = tuple(map(digest_key, keys))
+    is_preferred = fields.get("priority") == _PREFERRED_PRIORITY
+    return Workspace(name, digests, _parse_quota(fields), is_preferred)
 
 
 def _parse_quota(fields):
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -16,6 +16,7 @@
 )
 from ..messages import Answer, Outcome, Reason, Request, build_failure, new_identifier
 from ..workspaces.keys import parse_credentials
+from ..workspaces.registry import NOBODY
 
 REQUEST_ID = "X-Request-Id"
 # Remaining time in milliseconds, not a point in time as the name suggests.
@@ -104,7 +105,7 @@
     return parse_credentials(values, CREDENTIALS_SCHEME) if values else None
 
 
-def build_request(http, route, service, caller_service, deadline, due, workspace=""):
+def build_request(http, route, service, caller_service, deadline, due, identity=NOBODY):
     """Return the `Request` of an `HttpRequest`.
 
     Args:
@@ -114,11 +115,11 @@
         caller_service: Service of the instance at which the request entered.
         deadline: Time of the loop's clock at which the caller stops waiting.
         due: Time of the same clock by which the request should be answered.
-        workspace: Name of the workspace that the request belongs to, "" for none.
+        identity: `workspaces.registry.Identity` of the request.
     """
     headers = drop_headers(http.headers, _WITHHELD_HEADERS)
-    if workspace:
-        headers = (*headers, (WORKSPACE, workspace))
+    if identity.name:
+        headers = (*headers, (WORKSPACE, identity.name))
     return Request(
         attempt=new_identifier(),
         root=find_header(http.headers, _REQUEST_ID) or new_identifier(),
@@ -126,10 +127,10 @@
         call=route.name,
         method=http.method,
         path=http.target,
-        importance=route.importance,
+        importance=identity.choose_importance(route.importance),
         deadline=deadline,
         repeatable=route.repeatable,
-        caller=workspace,
+        caller=identity.name,
         headers=(*headers, (CALLER_SERVICE, caller_service)),
         body=http.body,
         due=due,
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -255,7 +255,7 @@
             self._settings.service,
             now + min(arrival.seconds, route.timeout),
             now + min(route.objective, route.timeout, arrival.seconds),
-            identity.workspace.name if identity.workspace else "",
+            identity,
         )
         if identity.refusal is not None:
             answer = instance.refuse_unidentified(request, key is not None)
@@ -265,7 +265,7 @@
             )
         seconds = asyncio.get_running_loop().time() - now
         self._metrics.record_call(
-            route.name, route.importance, answer.outcome, answer.reason, seconds, 0
+            route.name, request.importance, answer.outcome, answer.reason, seconds, 0
         )
         return dialect.build_response(answer, request.root)
 
--- a/whinwinch/resources.py
+++ b/whinwinch/resources.py
@@ -21,7 +21,7 @@
 from urllib.parse import unquote
 
 from .errors import Finding, raise_findings
-from .messages import Importance
+from .messages import DECLARED_IMPORTANCES, Importance
 
 KIND_SERVICE = "Service"
 
@@ -484,7 +484,7 @@
 
 
 def _parse_importance(value):
-    names = [importance.name.lower() for importance in Importance]
+    names = [importance.name.lower() for importance in DECLARED_IMPORTANCES]
     if not isinstance(value, str) or value not in names:
         raise ValueError(f"must be one of {', '.join(names)}")
     return Importance[value.upper()]
--- a/whinwinch/workspaces/registry.py
+++ b/whinwinch/workspaces/registry.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from ..messages import Reason
+from ..messages import Reason, prefer
 from . import keys
 
 
@@ -26,11 +26,13 @@
         name: Name of the workspace, which backend servers are told.
         digests: `keys.digest_key` of each of its keys.
         quota: `Quota` over all daemons.
+        is_preferred: Whether its requests go before those of other workspaces.
     """
 
     name: str
     digests: tuple[bytes, ...] = ()
     quota: Quota = Quota()
+    is_preferred: bool = False
 
 
 class Identity(NamedTuple):
@@ -44,6 +46,20 @@
     workspace: Workspace | None = None
     refusal: Reason | None = None
 
+    @property
+    def name(self):
+        """Name of the workspace, "" for none."""
+        return self.workspace.name if self.workspace is not None else ""
+
+    def choose_importance(self, declared):
+        """Return the importance of a request, given that of its route.
+
+        A preferred workspace takes precedence over what routes declare.
+        """
+        if self.workspace is not None and self.workspace.is_preferred:
+            return prefer(declared)
+        return declared
+
 
 NOBODY = Identity()
 
