Show workspaces' use in metrics, and pass credentials on without workspaces

Credentials and a workspace's name were dropped on every deployment; where there are no workspaces they are meant for the backend server, and are passed on again. The metrics page tells demand and admitted requests of the 32 workspaces with most requests at a daemon.

--- a/bench/regression.py
+++ b/bench/regression.py
@@ -45,6 +45,8 @@
     Day("further-grown/asante-pellet-grown", "trouble-1"),
     Day("grown/cspp-mesh-grown", "scale-2"),
     Day("grown/apa-reportes-grown", "scale-2"),
+    Day("shifted/cspp-mesh-now-grown", "trouble-3"),
+    Day("shifted/cspp-mesh-now-grown", "scale-2"),
 )
 
 
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -7,6 +7,7 @@
 from whinwinch.messages import Answer, Outcome, Reason, build_failure
 from whinwinch.platform import dialect
 from whinwinch.routes import Route, WeightedService
+from whinwinch.workspaces import registry
 
 SAFE = Route("r", "h", "/a/", (WeightedService("s", 1),), repeatable=True)
 UNSAFE = SAFE._replace(repeatable=False)
@@ -65,6 +66,39 @@
         self.assertEqual(head.count("X-Deadline-Ms"), 1)
 
 
+class WorkspaceTest(unittest.TestCase):
+    CREDENTIALS = ("Authorization", "Bearer k1")
+    FORGED = ("X-Tenant-Id", "forged")
+    HTTP = HTTP_REQUEST._replace(headers=(*HTTP_REQUEST.headers, CREDENTIALS, FORGED))
+
+    def build(self, identity):
+        return dialect.build_request(
+            self.HTTP, SAFE, "s", "own", 9.0, 8.0, identity
+        ).headers
+
+    def test_workspace_replaces_key_and_forged_name(self):
+        headers = self.build(registry.Identity(registry.Workspace("one")))
+        self.assertIn(("X-Tenant-Id", "one"), headers)
+        self.assertEqual(find_header(headers, "authorization"), "")
+        self.assertNotIn(self.FORGED, headers)
+        unknown = registry.Identity(refusal=Reason.UNKNOWN_KEY)
+        for identity in (registry.NOBODY, unknown):
+            self.assertEqual(find_header(self.build(identity), "x-tenant-id"), "")
+
+    def test_credentials_pass_where_there_are_no_workspaces(self):
+        """Guards against taking from backend servers what is meant for them."""
+        headers = self.build(registry.UNCHECKED)
+        self.assertIn(self.CREDENTIALS, headers)
+        self.assertIn(self.FORGED, headers)
+
+    def test_refusals_of_workspaces_have_their_statuses(self):
+        for reason, status in ((Reason.UNKNOWN_KEY, 401), (Reason.QUOTA, 429)):
+            answer = build_failure(build(), Outcome.NOT_RUN, reason, retry_after=0.5)
+            response = dialect.build_response(answer, "q1")
+            self.assertEqual(response.status, status)
+        self.assertEqual(find_header(response.headers, "retry-after"), "0.500")
+
+
 class AnswerTest(unittest.TestCase):
     def test_complete_answer_is_passed_on_unchanged(self):
         answer = parse(201, ("X-Response-Seal", "s"), ("Keep-Alive", "timeout=5"))
--- a/test/workspaces/test_registry.py
+++ b/test/workspaces/test_registry.py
@@ -4,7 +4,7 @@
 
 from whinwinch.messages import Importance, Reason
 from whinwinch.workspaces.keys import digest_key
-from whinwinch.workspaces.registry import NOBODY, Registry, Workspace
+from whinwinch.workspaces.registry import NOBODY, UNCHECKED, Registry, Workspace
 
 ONE = Workspace("one", (digest_key("k1"), digest_key("k2")))
 TWO = Workspace("two", (digest_key("k3"),))
@@ -43,8 +43,9 @@
         self.assertIs(other, Importance.CRITICAL)
 
     def test_no_key_is_needed_without_workspaces(self):
-        self.assertEqual(Registry().identify(None, is_public=False), NOBODY)
-        self.assertEqual(Registry().identify("k1", is_public=False), NOBODY)
+        for key in (None, "k1"):
+            identity = Registry().identify(key, is_public=False)
+            self.assertEqual(identity, UNCHECKED)
 
     def test_workspace_without_keys_is_still_one(self):
         """Guards against serving everybody once the last key has been taken away."""
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -2,6 +2,10 @@
 
 from . import loadlog
 from .metrics import Gauge, Label
+from .workspaces import usages
+
+# Workspaces with a series of their own, those with most requests first.
+MAX_WORKSPACES = 32
 
 
 def list_gauges(instance, now):
@@ -53,6 +57,11 @@
     for refused in loadlog.list_refusals(instance):
         labels = build_labels(at=refused.at, route=refused.route, reason=refused.reason)
         gauges.append(Gauge("refusals_total", refused.count, labels))
+    for usage in instance.ledger.list_busiest(now, MAX_WORKSPACES):
+        labels = build_labels(workspace=usage.workspace)
+        demand, admitted = sum(usage.demand), usage.admitted
+        gauges.append(Gauge("workspace_demand", demand / usages.RATE_SCALE, labels))
+        gauges.append(Gauge("workspace_admitted", admitted / usages.RATE_SCALE, labels))
     return gauges
 
 
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -16,7 +16,7 @@
 )
 from ..messages import Answer, Outcome, Reason, Request, build_failure, new_identifier
 from ..workspaces.keys import parse_credentials
-from ..workspaces.registry import NOBODY
+from ..workspaces.registry import UNCHECKED
 
 REQUEST_ID = "X-Request-Id"
 # Remaining time in milliseconds, not a point in time as the name suggests.
@@ -36,10 +36,10 @@
 SERVER_LEAVING = "server-leaving"
 # Headers that the daemon sets; values sent by callers are dropped.
 _DAEMON_HEADERS = CONNECTION_HEADERS | {
-    name.lower() for name in (TIME_LEFT, EXPECTED_BACKEND, CALLER_SERVICE, WORKSPACE)
+    name.lower() for name in (TIME_LEFT, EXPECTED_BACKEND, CALLER_SERVICE)
 }
-# Headers that don't reach backend servers as callers sent them.
-_WITHHELD_HEADERS = _DAEMON_HEADERS | {CREDENTIALS}
+# Further ones where there are workspaces.
+_WORKSPACE_HEADERS = _DAEMON_HEADERS | {WORKSPACE.lower(), CREDENTIALS}
 _REQUEST_ID = REQUEST_ID.lower()
 _TIME_LEFT = TIME_LEFT.lower()
 # Statuses that guarantee that a request has not run and never will.
@@ -105,7 +105,9 @@
     return parse_credentials(values, CREDENTIALS_SCHEME) if values else None
 
 
-def build_request(http, route, service, caller_service, deadline, due, identity=NOBODY):
+def build_request(
+    http, route, service, caller_service, deadline, due, identity=UNCHECKED
+):
     """Return the `Request` of an `HttpRequest`.
 
     Args:
@@ -117,7 +119,8 @@
         due: Time of the same clock by which the request should be answered.
         identity: `workspaces.registry.Identity` of the request.
     """
-    headers = drop_headers(http.headers, _WITHHELD_HEADERS)
+    dropped = _WORKSPACE_HEADERS if identity.is_checked else _DAEMON_HEADERS
+    headers = drop_headers(http.headers, dropped)
     if identity.name:
         headers = (*headers, (WORKSPACE, identity.name))
     return Request(
--- a/whinwinch/workspaces/ledger.py
+++ b/whinwinch/workspaces/ledger.py
@@ -137,6 +137,11 @@
                 listed.append(usage)
         return tuple(listed)
 
+    def list_busiest(self, now, count):
+        """Return the `usages.WorkspaceUsage` tuples with the most requests here."""
+        listed = self.list_usages(now)
+        return sorted(listed, key=lambda usage: sum(usage.demand), reverse=True)[:count]
+
     def _find_entry(self, name, now):
         entry = self._entries.get(name)
         if entry is None:
--- a/whinwinch/workspaces/registry.py
+++ b/whinwinch/workspaces/registry.py
@@ -41,10 +41,13 @@
     Attributes:
         workspace: `Workspace` that it belongs to, None for none.
         refusal: `messages.Reason` for which it is refused, None if it isn't.
+        is_checked: Whether there are workspaces, so that its credentials are meant
+            for the daemon and not for the backend server.
     """
 
     workspace: Workspace | None = None
     refusal: Reason | None = None
+    is_checked: bool = True
 
     @property
     def name(self):
@@ -62,6 +65,7 @@
 
 
 NOBODY = Identity()
+UNCHECKED = Identity(is_checked=False)
 
 
 class Registry:
@@ -101,11 +105,11 @@
             key: Key that the request carries, None for none.
             is_public: Whether requests of its route need no key.
         """
+        if not self._workspaces:
+            return UNCHECKED
         workspace = None
-        if key is not None and self._by_digest:
+        if key is not None:
             workspace = self._by_digest.get(keys.digest_key(key))
         if workspace is not None:
             return Identity(workspace)
-        if is_public or not self._workspaces:
-            return NOBODY
-        return Identity(refusal=Reason.UNKNOWN_KEY)
+        return NOBODY if is_public else Identity(refusal=Reason.UNKNOWN_KEY)
