Draw workspaces in randomized scenarios and check their guarantees

The emulator checked neither keys nor quotas. Where there are no workspaces both headers belong to caller and backend server, which the first run of the check showed.

--- a/emulator/generated.py
+++ b/emulator/generated.py
@@ -6,6 +6,8 @@
 import sys
 from typing import NamedTuple
 
+from whinwinch.workspaces.registry import Quota
+
 from . import caller, disruptions, guarantees, load, logs, mesh, scenarios
 
 # Time for requests in flight at the end of a scenario to finish.
@@ -82,11 +84,22 @@
             tuple(member.backend for member in running.members),
             tuple(context.left),
             running.members[0].settings.repeats,
+            *_list_workspaces(scenario, running.members[0].settings.quotas),
         )
         violations = guarantees.find_violations(observations)
     return Verdict(scenario, tuple(violations), served, tuple(unserved))
 
 
+def _list_workspaces(scenario, terms):
+    """Return keys, quotas and terms of a scenario as `guarantees.Observations` has."""
+    listed = scenario.configuration.get("tenants", {})
+    keys = {key: name for name, each in listed.items() for key in each["api_keys"]}
+    quotas = {
+        name: Quota(each["rate_per_s"], each["burst"]) for name, each in listed.items()
+    }
+    return keys, quotas, terms
+
+
 async def _disrupt(context, scheduled):
     await asyncio.sleep(scheduled.at)
     await disruptions.DISRUPTIONS[scheduled.disruption](context)
@@ -159,6 +172,9 @@
     parser.add_argument(
         "--factor", type=int, default=1, help="factor on the number of endpoints"
     )
+    parser.add_argument(
+        "--workspaces", action="store_true", help="with keys and quotas"
+    )
     parser.add_argument("--log", metavar="FILE", help="file for the daemons' log lines")
     options = parser.parse_args(arguments)
     if options.log:
@@ -168,6 +184,8 @@
         scenario = scenarios.draw_scenario(
             seed, sorted(disruptions.DISRUPTIONS), options.factor
         )
+        if options.workspaces:
+            scenario = scenarios.add_workspaces(scenario)
         verdict = asyncio.run(run_scenario(scenario))
         failed += bool(verdict.violations) or not verdict.recovered
         print("\n".join(describe(verdict)), flush=True)
--- a/emulator/guarantees.py
+++ b/emulator/guarantees.py
@@ -24,6 +24,8 @@
         left: `disruptions.DrainingBackend` objects.
         terms: `repeats.RepeatLimits` in force.
         workspaces: Name of the workspace of each key that any configuration held.
+        quotas: `workspaces.registry.Quota` by workspace, of those that have one.
+        quota_terms: `workspaces.quotas.QuotaTerms` in force.
     """
 
     results: tuple
@@ -31,6 +33,8 @@
     left: tuple
     terms: object
     workspaces: dict[str, str] = {}
+    quotas: dict = {}
+    quota_terms: object = None
 
 
 def find_violations(observations):
@@ -52,6 +56,7 @@
         *_check_drained(observations.left),
         *_check_repeats(observations.servers, observations.terms),
         *_check_workspaces(observations),
+        *_check_quotas(observations),
     ]
 
 
@@ -135,7 +140,12 @@
 
 
 def _check_workspaces(observations):
-    """Yield violations by runs under a wrong workspace or with a caller's key."""
+    """Yield violations by runs under a wrong workspace or with a caller's key.
+
+    Without workspaces both headers belong to caller and backend server.
+    """
+    if not observations.workspaces:
+        return
     keys = {
         request: each.key for each in observations.results for request in each.requests
     }
@@ -148,3 +158,32 @@
             if run.credentials:
                 text = f"{run.request} reached {server.identity} with its key"
                 yield Violation("keys don't reach backend servers", text)
+
+
+def _check_quotas(observations):
+    """Yield violations by workspaces of which too many requests ran in a window."""
+    terms = observations.quota_terms
+    for workspace, quota in sorted(observations.quotas.items()):
+        within = quota.rate * terms.window + quota.burst
+        allowed = within * (1.0 + terms.overage) + terms.slack
+        # A request counts once, however many endpoints ran it.
+        first_runs = {}
+        for server in observations.servers:
+            for run in server.runs:
+                if run.workspace == workspace:
+                    before = first_runs.get(run.request, run.time)
+                    first_runs[run.request] = min(before, run.time)
+        worst = _count_worst_window(sorted(first_runs.values()), terms.window)
+        if worst > allowed:
+            text = f"{worst} requests of {workspace} in a window, {allowed:.0f} allowed"
+            yield Violation("quotas hold over all daemons", text)
+
+
+def _count_worst_window(times, seconds):
+    """Return the most of some ascending times within a window."""
+    worst, first = 0, 0
+    for last, time in enumerate(times):
+        while time - times[first] >= seconds:
+            first += 1
+        worst = max(worst, last - first + 1)
+    return worst
--- a/emulator/scenarios.py
+++ b/emulator/scenarios.py
@@ -24,6 +24,10 @@
 MAX_DISRUPTIONS = 4
 MIN_DISRUPTION_TIME, MAX_DISRUPTION_TIME = 0.3, 3.0
 INTERNAL_PREFIX = "/inner/"
+MAX_WORKSPACES = 4
+# Quota of a workspace as a factor on the rate of its requests at the base load.
+MIN_QUOTA_FACTOR, MAX_QUOTA_FACTOR = 0.3, 2.0
+MIN_QUOTA_RATE = 1.0
 
 
 class ScheduledDisruption(NamedTuple):
@@ -108,6 +112,45 @@
     )
 
 
+def add_workspaces(scenario):
+    """Return a scenario whose requests carry keys of workspaces with quotas.
+
+    All else stays as it was drawn.
+    """
+    draw = random.Random(f"workspaces {scenario.seed}")
+    names = [f"w{number}" for number in range(draw.randint(1, MAX_WORKSPACES))]
+    keys = {name: [f"key-{name}-{draw.getrandbits(40):x}"] for name in names}
+    flows, rates = [], dict.fromkeys(names, 0.0)
+    for flow in scenario.flows:
+        name = draw.choice(names)
+        rates[name] += flow.rate
+        flows.append(flow._replace(kind=flow.kind._replace(key=keys[name][0])))
+    routes = {
+        name: {**route, "public": route["path_prefix"] == INTERNAL_PREFIX}
+        for name, route in scenario.configuration["routes"].items()
+    }
+    workspaces = {
+        name: {
+            "api_keys": keys[name],
+            "priority": draw.randint(0, 1),
+            **_draw_quota(draw, rates[name]),
+        }
+        for name in names
+    }
+    configuration = {
+        **scenario.configuration,
+        "routes": routes,
+        "tenants": workspaces,
+    }
+    return scenario._replace(flows=tuple(flows), configuration=configuration)
+
+
+def _draw_quota(draw, rate):
+    rate *= draw.uniform(MIN_QUOTA_FACTOR, MAX_QUOTA_FACTOR)
+    rate = round(max(rate, MIN_QUOTA_RATE), 1)
+    return {"rate_per_s": rate, "burst": rate}
+
+
 def name_host(service):
     """Return the Host header of requests for a service."""
     return f"{service}.example"
--- a/test/emulator/test_generated.py
+++ b/test/emulator/test_generated.py
@@ -9,6 +9,7 @@
 # In these, daemons are killed and restarted and connections are reset, while backend
 # servers have faults.
 PLAYED_SEEDS = 3, 6
+PLAYED_WORKSPACE_SEEDS = 4, 6
 
 
 def find_utilization(scenario, service):
@@ -61,6 +62,17 @@
             self.assertLessEqual(most_utilized, scenarios.MAX_UTILIZATION + 1e-6, seed)
             self.assertGreater(most_utilized, 0.0, seed)
 
+    def test_workspaces_change_nothing_else(self):
+        for seed in SEEDS:
+            drawn = scenarios.draw_scenario(seed, NAMES)
+            changed = scenarios.add_workspaces(drawn)
+            self.assertTrue(all(flow.kind.key for flow in changed.flows))
+            flows = tuple(
+                flow._replace(kind=flow.kind._replace(key="")) for flow in changed.flows
+            )
+            kept = changed._replace(flows=flows, configuration=drawn.configuration)
+            self.assertEqual(kept, drawn)
+
     def test_scenarios_include_unsafe_requests(self):
         drawn_scenarios = [scenarios.draw_scenario(seed, NAMES) for seed in SEEDS]
         methods = {
@@ -79,12 +91,19 @@
 
 
 class RunTest(unittest.IsolatedAsyncioTestCase):
+    async def assert_guarantees(self, scenario):
+        verdict = await generated.run_scenario(scenario)
+        self.assertEqual(verdict.violations, ())
+        self.assertEqual(verdict.unserved, (), generated.describe(verdict))
+        self.assertGreater(verdict.whole, 0.0)
+
     async def test_guarantees_hold_in_randomized_scenarios(self):
         for seed in PLAYED_SEEDS:
             with self.subTest(seed=seed):
-                verdict = await generated.run_scenario(
-                    scenarios.draw_scenario(seed, NAMES)
-                )
-                self.assertEqual(verdict.violations, ())
-                self.assertEqual(verdict.unserved, (), generated.describe(verdict))
-                self.assertGreater(verdict.whole, 0.0)
+                await self.assert_guarantees(scenarios.draw_scenario(seed, NAMES))
+
+    async def test_guarantees_hold_with_workspaces(self):
+        for seed in PLAYED_WORKSPACE_SEEDS:
+            with self.subTest(seed=seed):
+                drawn = scenarios.draw_scenario(seed, NAMES)
+                await self.assert_guarantees(scenarios.add_workspaces(drawn))
--- a/test/emulator/test_guarantees.py
+++ b/test/emulator/test_guarantees.py
@@ -4,6 +4,8 @@
 
 from emulator import backend, caller, disruptions, guarantees
 from whinwinch import repeats
+from whinwinch.workspaces.quotas import QuotaTerms
+from whinwinch.workspaces.registry import Quota
 
 TERMS = repeats.RepeatLimits(0.2, 2.0, 10.0)
 
@@ -35,13 +37,51 @@
         """Return the names of the violated guarantees."""
         servers = (self.server, self.other)
         observations = guarantees.Observations(
-            tuple(self.results), servers, tuple(self.left), TERMS
+            tuple(self.results),
+            servers,
+            tuple(self.left),
+            TERMS,
+            {"key-of-w": "w"},
+            {"w": Quota(1.0, 2.0)},
+            QuotaTerms(5.0, 0.0, 1.0),
         )
         return {each.guarantee for each in guarantees.find_violations(observations)}
 
     async def test_no_violation(self):
         self.assertEqual(self.find(), set())
 
+    def run_for_workspace(self, request, workspace="w", time=0.0, credentials=""):
+        """Record a request with the key of the workspace w and its run."""
+        result = build_result(request, 200, whole=True)._replace(key="key-of-w")
+        self.results.append(result)
+        run = build_run(request)._replace(
+            workspace=workspace, time=time, credentials=credentials
+        )
+        self.server.runs.append(run)
+
+    async def test_run_for_another_workspace(self):
+        self.run_for_workspace("b")
+        self.assertEqual(self.find(), set())
+        self.run_for_workspace("c", "v")
+        self.assertEqual(self.find(), {"runs name the workspace that holds the key"})
+
+    async def test_run_of_a_workspace_without_its_key(self):
+        self.server.runs[0] = self.server.runs[0]._replace(workspace="w")
+        self.assertEqual(self.find(), {"runs name the workspace that holds the key"})
+
+    async def test_key_that_reached_a_backend_server(self):
+        self.run_for_workspace("b", credentials="Bearer key-of-w")
+        self.assertEqual(self.find(), {"keys don't reach backend servers"})
+
+    async def test_more_requests_of_a_workspace_than_its_quota(self):
+        for number in range(8):
+            self.run_for_workspace(f"w{number}", time=0.5 * number)
+        self.assertEqual(self.find(), set())
+        self.run_for_workspace("late", time=5.1)
+        self.assertEqual(self.find(), set())
+        self.run_for_workspace("early", time=3.6)
+        self.assertEqual(self.find(), {"quotas hold over all daemons"})
+
     async def test_unsafe_work_that_ran_twice(self):
         self.results.append(build_result("pay", 502))
         self.server.runs += [build_run("pay", "POST"), build_run("pay", "POST")]
