--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -24,13 +24,14 @@
     subsets,
 )
 from .backends.guard import Backend, Guard
-from .daemons import exchange, frames, links, relays, topics, traffic
+from .daemons import exchange, frames, links, relays, reporting, topics, traffic
 from .forwarding import Forwarder
 from .logservice import sources
 from .messages import Outcome, Reason, build_failure
 from .placement import Placement
 from .reportedlevels import ReportedLevels
-from .workspaces import ledger, registry, reporting
+from .workspaces import ledger, registry
+from .workspaces import reporting as quota_reporting
 
 # Share of a route's objective that a nested call may wait for a slot. The waits of
 # sequential calls of one request add up: with a larger share, admitted requests are
@@ -40,11 +41,6 @@
 ROOT_REQUEST_WAIT_SHARE = 0.5
 # Objective in seconds of a request whose route isn't configured.
 DEFAULT_OBJECTIVE = 1.0
-# Seconds between two reports of levels; none are sent while nothing is refused.
-LEVELS_INTERVAL = 0.1
-# Seconds between two sums of a relay; short, because it adds to the age of the levels
-# that the relay passes on.
-RELAY_INTERVAL = 0.05
 # Seconds after the stop signal during which all requests are still served. Callers
 # need about two seconds to be routed to other daemons; each answer directs them to
 # open their next connection elsewhere.
@@ -53,10 +49,6 @@
 STOP_RESERVE = 0.4
 # Seconds between two checks of a condition during a stop.
 STOP_POLL_INTERVAL = 0.02
-# Seconds between two checks of the call topology for changes, and until an unchanged
-# topology is sent again for daemons that have connected since.
-GRAPH_INTERVAL = 0.25
-GRAPH_REPEAT_INTERVAL = 2.0
 # Seconds between two choices of the log's readers: another daemon should take over as
 # soon as a reader is unreachable.
 SOURCES_INTERVAL = 0.1
@@ -187,7 +179,15 @@
             self.crash_history,
         )
         self.ledger = ledger.Ledger(quota_terms, self._count_daemons, self._loop.time())
-        self.quota_reporting = reporting.Reporting(
+        self.reporting = reporting.Reporting(
+            self._relays,
+            self._reported_levels,
+            self.graph,
+            location.address,
+            self.list_levels,
+            self.guard.find_available_share,
+        )
+        self.quota_reporting = quota_reporting.Reporting(
             self.ledger,
             self._relays,
             location.address,
@@ -424,86 +424,12 @@
 
     def _apply_relayed(self, address, frame):
         """Apply a frame that a daemon sent to its relay or a relay to daemons."""
-        now = self._loop.time()
-        if isinstance(frame, (frames.Usages, frames.UsageSum)):
-            self.quota_reporting.apply(address, frame, now)
-        elif isinstance(frame, frames.Crash):
-            self.crash_history.apply(frame.record, now)
-        elif isinstance(frame, frames.Graph):
-            self.graph.merge_topology(frame.topology)
-        elif isinstance(frame, frames.Levels):
-            self._reported_levels.record_levels(
-                address, frame.levels, now, frame.available
-            )
-        elif frame.is_total:
-            self._reported_levels.record_total(frame.shed_shares, now)
+        if isinstance(frame, frames.Crash):
+            self.crash_history.apply(frame.record, self._loop.time())
+        elif isinstance(frame, (frames.Usages, frames.UsageSum)):
+            self.quota_reporting.apply(address, frame, self._loop.time())
         else:
-            self._reported_levels.record_relay_sum(address, frame.shed_shares, now)
-
-    async def report_levels(self):
-        """Report the levels of the local routes to the relay until cancelled."""
-        reported = ()
-        while True:
-            await asyncio.sleep(LEVELS_INTERVAL)
-            levels = tuple(self.list_levels())
-            if levels or reported:
-                available = self.guard.find_available_share()
-                self._reported_levels.record_levels(
-                    self.location.address, levels, self._loop.time(), available
-                )
-                self._relays.report(frames.Levels(levels, available))
-            reported = levels
-
-    async def relay_levels(self):
-        """Send the sums of levels, while this is the zone's relay, until cancelled."""
-        sent = ()
-        while True:
-            await asyncio.sleep(RELAY_INTERVAL)
-            sent = self._send_level_sums(sent) if self._relays.is_relay else ()
-
-    def _send_level_sums(self, sent):
-        """Send the zone's sum of levels to other relays, and the total to the zone.
-
-        Args:
-            sent: Total of the previous call. When the levels have dropped to zero,
-                an empty sum is sent once.
-
-        Returns:
-            The total over all daemons.
-        """
-        now = self._loop.time()
-        zone_sum, total = (
-            self._reported_levels.sum_daemons(now),
-            self._reported_levels.sum_all(now),
-        )
-        if total or sent:
-            self._relays.tell_relays(frames.LevelSum(False, zone_sum))
-            self._relays.tell_zone(frames.LevelSum(True, total))
-            self._reported_levels.record_total(total, now)
-        return total
-
-    async def report_topology(self):
-        """Report the call topology through the relay until cancelled.
-
-        A daemon that has just started thereby learns which calls a level concerns
-        before it has observed any.
-        """
-        sent, next_repeat = None, 0.0
-        while True:
-            await asyncio.sleep(GRAPH_INTERVAL)
-            topology = self.graph.export_topology()
-            reader = self._relays.sources.reader
-            now = self._loop.time()
-            if (topology, reader) != sent or now >= next_repeat:
-                self._send_topology(frames.Graph(topology))
-                sent, next_repeat = (topology, reader), now + GRAPH_REPEAT_INTERVAL
-
-    def _send_topology(self, frame):
-        if not self._relays.is_relay:
-            self._relays.report(frame)
-            return
-        self._relays.tell_relays(frame)
-        self._relays.tell_zone(frame)
+            self.reporting.apply(address, frame)
 
     @property
     def reader_rank(self):
