--- a/test/test_explanations.py
+++ b/test/test_explanations.py
@@ -44,6 +44,23 @@
             code = commands.main(["explain", *words])
         return code, output.getvalue()
 
+    def test_refusals_of_workspaces_are_explained(self):
+        """Guards against a 401 or 429 of which nobody can tell the reason."""
+        state = {"workspace": "w1", "rate": 12.0, "demand": 36.4, "version": 7}
+        path = self.save(
+            "entry.log",
+            write_line(3.0, "unidentified", root="q1", reason="unknown-key", version=7),
+            write_line(3.1, "overquota", root="q2", reason="workspace-quota", **state),
+        )
+        code, text = self.run_command("q1", path)
+        self.assertEqual(code, 0)
+        self.assertIn("version=7", text)
+        self.assertIn(explanations.MEANINGS[messages.Reason.UNKNOWN_KEY], text)
+        code, text = self.run_command("q2", path)
+        self.assertEqual(code, 0)
+        self.assertIn("workspace=w1 rate=12.000 demand=36.400", text)
+        self.assertIn(explanations.MEANINGS[messages.Reason.QUOTA], text)
+
     def test_refusal_further_down_is_found(self):
         """A payout fails with 500 because a call three services down was refused.
 
