--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -192,7 +192,7 @@
             self._relays,
             location.address,
             self._count_daemons,
-            lambda: bool(self.workspaces.workspaces),
+            lambda: not self.workspaces.is_empty,
         )
         self.is_stopping = False
         self._is_leaving = False
@@ -206,7 +206,7 @@
         """Listen for other daemons at a `settings.Address`; return the port."""
         return await self.exchange.listen(address.host, address.port)
 
-    def install_table(self, table, workspaces):
+    def install_configuration(self, table, workspaces):
         """Install a version of the configuration if it is newer than the present one.
 
         Args:
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -360,7 +360,7 @@
             except (InputErrors, ValueError) as error:
                 events.write("configuration-unread", events.Message(str(error)))
                 continue
-            if self.instance.install_table(parsed.table, parsed.workspaces):
+            if self.instance.install_configuration(parsed.table, parsed.workspaces):
                 self._callers.limits = parsed.limits
 
     def _apply_instance_records(self, changed):
--- a/whinwinch/workspaces/registry.py
+++ b/whinwinch/workspaces/registry.py
@@ -90,9 +90,9 @@
                     )
 
     @property
-    def workspaces(self):
-        """The `Workspace` tuples in the order of the configuration."""
-        return tuple(self._workspaces.values())
+    def is_empty(self):
+        """Whether there are no workspaces."""
+        return not self._workspaces
 
     def find(self, name):
         """Return the `Workspace` of a name, or None."""
@@ -105,7 +105,7 @@
             key: Key that the request carries, None for none.
             is_public: Whether requests of its route need no key.
         """
-        if not self._workspaces:
+        if self.is_empty:
             return UNCHECKED
         workspace = None
         if key is not None:
