--- a/whinwinch/workspaces/ledger.py
+++ b/whinwinch/workspaces/ledger.py
@@ -6,6 +6,9 @@
 from . import quotas, usages
 from .registry import Registry
 
+# Seconds after its last request in which a workspace is reported: its rates have
+# fallen to nothing by then.
+REPORTED_SECONDS = 5.0
 # Seconds without a request after which a workspace's account is dropped.
 IDLE_SECONDS = 30.0
 
@@ -132,6 +135,8 @@
             if now - entry.used_at > IDLE_SECONDS:
                 del self._entries[name]
                 continue
+            if now - entry.used_at > REPORTED_SECONDS:
+                continue
             usage = usages.build_entry(name, entry.account.read_usage(now))
             if any(usage.demand):
                 listed.append(usage)
--- a/whinwinch/workspaces/quotas.py
+++ b/whinwinch/workspaces/quotas.py
@@ -125,6 +125,8 @@
 
     def read(self, now):
         """Return the events a second."""
+        if not self._count:
+            return 0.0
         self._decay(now)
         seconds = max(now - self._started_at, MIN_RATE_SECONDS)
         return self._count / (RATE_SECONDS * -math.expm1(-seconds / RATE_SECONDS))
