--- a/test/emulator/test_workspaces.py
+++ b/test/emulator/test_workspaces.py
@@ -186,6 +186,8 @@
         logger = logging.get_absl_logger()
         logger.addHandler(handler)
         self.addCleanup(logger.removeHandler, handler)
+        self.addCleanup(setattr, logger, "propagate", logger.propagate)
+        logger.propagate = False
         for member in self.mesh.find("front"):
             member.backend.faults = backend.Faults(shed=0.2, fail=0.2, lose=0.2)
         for kind in (BROWSE, PAY, BROWSE._replace(key="unknown-key-text")):
