Keep the key of a malformed workspace out of the log

Reading the change once more: a key that can't be encoded (a lone surrogate in the operator's JSON) made digest_key raise UnicodeEncodeError, whose text contains the key and was written as configuration-unread. Keys given as one text in place of a list would have made each of its characters a key. Both are refused before a key is touched. test_findings_never_contain_a_key failed before.

--- a/test/platform/test_configuration.py
+++ b/test/platform/test_configuration.py
@@ -53,6 +53,22 @@
         )
         self.assertEqual(read.limits.idle_seconds, 12.0)
 
+    def test_findings_never_contain_a_key(self):
+        """Guards against a key in the log line of a configuration that isn't read."""
+        for keys in (["secret-1", 7], ["secret-1\ud800"], "secret-1"):
+            document = {
+                "version": "r8",
+                "routes": {"one": ROUTE},
+                "tenants": {"w": {"api_keys": keys}},
+            }
+            data = json.dumps(document).encode()
+            with self.assertRaises(errors.InputErrors) as caught:
+                configuration.parse_configuration(data)
+            texts = [
+                f"{each.place} {each.problem}" for each in caught.exception.findings
+            ]
+            self.assertNotIn("secret", " ".join([str(caught.exception), *texts]))
+
     def test_every_invalid_route_is_reported(self):
         """An invalid route must not be skipped: its callers would get 404."""
         bad = {**ROUTE, "kind": "sometimes"}
--- a/whinwinch/platform/configuration.py
+++ b/whinwinch/platform/configuration.py
@@ -97,9 +97,12 @@
 
 def _parse_workspace(name, fields):
     """Return a `Workspace`; its errors must not contain the value of a key."""
-    keys = fields.get("api_keys") or ()
-    if not all(isinstance(key, str) and key for key in keys):
-        raise ValueError("each of its keys must be text")
+    keys = fields.get("api_keys") or []
+    if not isinstance(keys, list):
+        raise ValueError("its keys must be a list")
+    # The error of a text that can't be encoded contains that text.
+    if not all(isinstance(key, str) and key and key.isascii() for key in keys):
+        raise ValueError("each of its keys must be ASCII text")
     digests = tuple(map(digest_key, keys))
     is_preferred = fields.get("priority") == _PREFERRED_PRIORITY
     return Workspace(name, digests, _parse_quota(fields), is_preferred)
