Repeat root requests with the fewest calls left first where repeats are short

What callers saw: while a deep service turns down half, nearly all of the payments and orders that need several of its calls fail, and so does most of what the budget of repeats is spent on.

Cause: whole root requests were chosen by their hash against a level that moves with the budget. A root got repeats for its first calls, the level rose, and its last call was given up.

Change: a daemon tells with each call how many the root request will probably make after it, learnt by the call graph; gatekeepers repeat those with the fewest left first within an importance. What remains of a window is spent over an eighth of it for the most important that ask, a fifth before. Load lines tell repeats asked for and admitted by importance and calls left: the incident could not be told apart without.

Refusing at the entry serves no more: calls that are not made earn no repeats.

--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -380,3 +380,44 @@
         self.graph.start("1", run("index", 5.0), 0.0)
         self.graph.end("1")
         self.assertIsNone(self.call("queue", 0.7))
+
+
+class CallsLeftTest(unittest.TestCase):
+    """Requests of "index" make four calls of "queue", one after the other."""
+
+    def setUp(self):
+        self.graph = callgraph.CallGraph()
+        for number in range(callgraph.MIN_OBSERVATIONS):
+            self.make_calls(number)
+
+    def make_calls(self, number, calls_left=0):
+        """Run one request; return the calls left that each of its calls tells."""
+        start = 10.0 * number
+        running = run("index", start + 2.0)._replace(calls_left=calls_left)
+        self.graph.start("a", running, start)
+        told = []
+        for call in range(4):
+            now = start + 0.1 * (call + 1)
+            parent = self.graph.begin_call("queue", BACKEND, now + 0.7, now)
+            told.append(self.graph.count_calls_left(parent))
+            self.graph.end_call(parent, BACKEND, now + 0.099)
+        self.graph.end("a")
+        return told
+
+    def test_each_call_tells_how_many_follow(self):
+        self.assertEqual(self.make_calls(9), [3, 2, 1, 0])
+
+    def test_calls_of_requests_that_follow_further_up_are_counted(self):
+        """Guards against taking the last call of the first of two parts for the last.
+
+        A payment whose first part is done would be repeated like one that is done.
+        """
+        self.assertEqual(self.make_calls(9, calls_left=1), [7, 6, 5, 4])
+
+    def test_calls_in_flight_beside_one_are_counted(self):
+        """Guards against repeating one of two calls while the other is given up."""
+        self.graph.start("a", run("index", 102.0), 100.0)
+        first = self.graph.begin_call("queue", BACKEND, 100.8, 100.1)
+        second = self.graph.begin_call("queue", BACKEND + 1, 100.8, 100.1)
+        self.assertIs(first.run, second.run)
+        self.assertEqual(self.graph.count_calls_left(second), 3)
--- a/test/test_loadlog.py
+++ b/test/test_loadlog.py
@@ -6,7 +6,7 @@
 import types
 import unittest
 
-from whinwinch import events, gate, lanes, loadlog, messages
+from whinwinch import events, gate, lanes, loadlog, messages, repeats
 from whinwinch.backends.guard import Backend
 from whinwinch.daemons import frames, traffic
 
@@ -14,10 +14,12 @@
 class MeterTest(unittest.TestCase):
     def setUp(self):
         self.usage = lanes.SlotUsage()
+        self.repeats = []
         self.guard = types.SimpleNamespace(
             backend=Backend("i-1", "deep", 4),
             refused=collections.Counter(),
             measure_usage=lambda: self.usage,
+            list_repeats=lambda: self.repeats,
             load=lambda: messages.Load(in_service=4, waiting=2, limit=4),
         )
         self.forwarder = types.SimpleNamespace(refused=collections.Counter())
@@ -42,6 +44,16 @@
         second = self.meter.read(13.0)
         self.assertEqual((second.busy, second.ended, second.refused), (4.0, 50, ()))
 
+    def test_repeats_are_reported_by_importance_and_calls_left(self):
+        self.repeats = [repeats.RepeatCount("HIGH", 0, 5, 5)]
+        self.assertEqual(self.meter.read(11.0).repeats, tuple(self.repeats))
+        self.repeats = [
+            repeats.RepeatCount("HIGH", 0, 5, 5),
+            repeats.RepeatCount("LOW", 3, 9, 2),
+        ]
+        expected = (repeats.RepeatCount("LOW", 3, 9, 2),)
+        self.assertEqual(self.meter.read(12.0).repeats, expected)
+
     def test_bytes_to_other_zones_are_reported_by_kind_of_message(self):
         self.traffic.record_sent(frames.Levels, "far:1", 50)
         self.traffic.record_sent(frames.Levels, "near:1", 50)
--- a/test/test_repeats.py
+++ b/test/test_repeats.py
@@ -157,6 +157,16 @@
         self.assertGreater(whole, 60)
         self.assertGreater(5 * whole, spent / 2)
 
+    def test_important_requests_go_before_those_with_fewer_calls_left(self):
+        """Guards against repeats of browsing that payments need."""
+        for left in (0, 9):
+            payment = build_request("pay", Importance.CRITICAL)
+            browsing = build_request("browse", Importance.LOW)
+            payment = payment._replace(calls_left=left)
+            self.assertGreater(
+                repeats.rank_repeat(payment), repeats.rank_repeat(browsing)
+            )
+
     def test_nested_calls_of_a_repeat_count_and_are_not_refused(self):
         """A repeated request makes its nested calls to the next service again.
 
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -186,6 +186,10 @@
         """Return the share of the slots that a named limit leaves in use, up to 1."""
         return self._slots.find_available_share()
 
+    def list_repeats(self):
+        """Return the `repeats.RepeatCount` of each class of requests."""
+        return self._repeat_budget.list_counts()
+
     def measure_usage(self):
         """Return the `lanes.SlotUsage` since the backend server started."""
         return self._slots.measure_usage()
@@ -307,6 +311,7 @@
                 started + sent_timeout,
                 request.due,
                 request.again or request.parent_is_repeat,
+                request.calls_left,
             ),
             started,
         )
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -104,6 +104,8 @@
         deadline: When it expires, by the loop's clock in seconds.
         due: When its answer is due, by the loop's clock in seconds.
         is_repeat: Whether it repeats an earlier request.
+        calls_left: Number of calls like it that its root request will probably make
+            after it.
     """
 
     route: str
@@ -112,6 +114,7 @@
     deadline: float
     due: float = math.inf
     is_repeat: bool = False
+    calls_left: int = 0
 
 
 class Run:
@@ -402,6 +405,24 @@
             self._record_call(parent.run, route, now)
         return parent
 
+    def count_calls_left(self, parent):
+        """Return how many calls a root request will probably make after its latest one.
+
+        Calls in flight beside the latest one are among them. Those that its requests
+        further up the call graph will make are taken to make as many calls each as the
+        parent does.
+
+        Args:
+            parent: The `Parent` that `begin_call` returned for the latest call.
+        """
+        run = parent.run
+        calls = self._find_pattern(run).calls
+        not_made = max(calls - run.made, 0.0)
+        in_flight = max(run.calls_in_flight - 1, 0)
+        # A call of another request may have been taken for one of this request.
+        own = min(not_made + in_flight, max(calls - 1.0, 0.0))
+        return round(own + run.request.calls_left * max(calls, 1.0))
+
     def end_call(self, parent, connection, now):
         """Record that a call of a `Parent` has been answered.
 
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -402,6 +402,7 @@
             due=parent.due,
             via=(self.guard.backend.service if self.guard.backend else "",),
             parent_is_repeat=parent.run.request.is_repeat,
+            calls_left=self.graph.count_calls_left(parent),
         )
 
     def _apply_frame(self, address, news):
--- a/whinwinch/loadlog.py
+++ b/whinwinch/loadlog.py
@@ -8,7 +8,7 @@
 import collections
 from typing import NamedTuple
 
-from . import events
+from . import events, repeats
 from .daemons import traffic
 from .lanes import SlotUsage
 
@@ -58,6 +58,7 @@
         job_seconds: Mean slot time of these requests in seconds.
         levels: `RouteLevel` tuples; routes without a level are left out.
         refused: `RefusalCount` tuples.
+        repeats: `repeats.RepeatCount` tuples.
         sent: `daemons.traffic.Sent` tuples of the messages sent to other daemons.
     """
 
@@ -70,6 +71,7 @@
     job_seconds: float
     levels: tuple[RouteLevel, ...]
     refused: tuple[RefusalCount, ...]
+    repeats: tuple[repeats.RepeatCount, ...]
     sent: tuple[traffic.Sent, ...]
 
 
@@ -96,6 +98,7 @@
         self._time = now
         self._usage = instance.guard.measure_usage()
         self._refused = collections.Counter()
+        self._repeats = {}
         self._sent = ()
 
     def read(self, now):
@@ -122,6 +125,7 @@
             round(slot_seconds / ended, 4) if ended else 0.0,
             tuple(self._instance.list_route_levels()),
             self._read_refused(),
+            self._read_repeats(),
             self._read_sent(),
         )
 
@@ -133,6 +137,12 @@
         self._refused = refused
         return tuple(RefusalCount(*key, count) for key, count in increase.items())
 
+    def _read_repeats(self):
+        counts = {count[:2]: count for count in self._instance.guard.list_repeats()}
+        before, self._repeats = self._repeats, counts
+        increase = (_subtract(count, before.get(key)) for key, count in counts.items())
+        return tuple(count for count in increase if count.asked)
+
     def _read_sent(self):
         sent = self._instance.traffic.list_sent()
         increase = traffic.subtract(sent, self._sent)
@@ -140,6 +150,14 @@
         return increase
 
 
+def _subtract(count, before):
+    if before is None:
+        return count
+    return count._replace(
+        asked=count.asked - before.asked, admitted=count.admitted - before.admitted
+    )
+
+
 def write_load(load):
     """Log a `Load`, unless no slot was in use and no request refused."""
     if load.busy or load.refused:
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -128,6 +128,8 @@
             answered to meet its objective; infinite if it has no objective.
         parent_is_repeat: Whether the attempt that makes this call is itself a repeat,
             so that the call counts as a repeat too.
+        calls_left: Number of calls like this one that the root request will probably
+            make after it.
     """
 
     attempt: str
@@ -148,6 +150,7 @@
     again: bool = False
     due: float = math.inf
     parent_is_repeat: bool = False
+    calls_left: int = 0
 
 
 class Load(NamedTuple):
--- a/whinwinch/repeats.py
+++ b/whinwinch/repeats.py
@@ -15,16 +15,22 @@
 
 In an outage requests end early, so fewer first attempts arrive just when repeats are
 needed. Both the bound and the budget therefore use the window with the most requests
-among the recent ones. The remaining budget is spent over half a window. If demand for
-repeats is higher than that, the most important requests are repeated first, and among
-equals whole root requests are selected by the hash that all daemons share: a request
-that needs five repeats gains nothing from two.
+among the recent ones. The remaining budget is spent over half a window.
+
+If demand for repeats is higher than that, the most important requests are repeated
+first, and among equals those of root requests with the fewest calls left. Where half of
+the calls are refused, a root request with eight calls left takes eight repeats, and all
+of them are lost if the last one is refused; one with a single call left takes one.
+Among equals of these, whole root requests are selected by the hash that all daemons
+share.
 """
 
+import bisect
+import collections
 import math
 from typing import NamedTuple
 
-from . import admission, messages
+from . import messages
 
 # Share of the allowed repeats that is used. The reserve covers repeats that are in
 # flight while they are counted and first attempts forgotten in a restart.
@@ -37,7 +43,13 @@
 SPENDING_SHARE = 0.5
 # The same for the highest importance in demand, which need not leave any budget for
 # more important requests.
-TOP_SPENDING_SHARE = 0.2
+TOP_SPENDING_SHARE = 0.125
+# Highest number of calls left in each stage but the last. Later calls tell more roots
+# apart than earlier ones, and each stage needs enough demand to be measured.
+STAGE_LIMITS = (0, 1, 2, 3, 5, 8, 12)
+STAGE_COUNT = len(STAGE_LIMITS) + 1
+# Demand for repeats below which a class of requests is forgotten.
+MIN_DEMAND = 0.01
 
 
 class RepeatLimits(NamedTuple):
@@ -54,6 +66,22 @@
     window: float
 
 
+class RepeatCount(NamedTuple):
+    """Number of repeats of one class of requests, since the start or a reading.
+
+    Attributes:
+        importance: Name of their importance.
+        calls_left: Fewest calls that their root requests had left.
+        asked: Repeats asked for.
+        admitted: Those of them that were admitted.
+    """
+
+    importance: str
+    calls_left: int
+    asked: int
+    admitted: int
+
+
 class StepCounter:
     """Number of events in each step of the last two windows, the newest first.
 
@@ -103,8 +131,18 @@
         step = limits.window / STEPS_PER_WINDOW
         self._firsts = StepCounter(step, now)
         self._repeats = StepCounter(step, now)
-        self._demand = [0.0] * len(messages.Importance)
+        # Decaying number of repeats asked for, by importance and stage.
+        self._demand = {}
         self._demand_time = now
+        self._asked = collections.Counter()
+        self._admitted = collections.Counter()
+
+    def list_counts(self):
+        """Return the `RepeatCount` of each class of requests since the start."""
+        return [
+            RepeatCount(*_describe_class(key), asked, self._admitted[key])
+            for key, asked in sorted(self._asked.items(), reverse=True)
+        ]
 
     def record_first_attempt(self, now):
         """Count the first attempt of a request."""
@@ -121,11 +159,13 @@
     def try_spend(self, request, now):
         """Return whether a repeat is admitted, and count it if so."""
         remaining = self.count_remaining(now)
-        self._record_demand(request, now)
-        if remaining < 1.0:
-            return False
-        if messages.rank_request(request) < self._find_level(remaining):
+        rank = rank_repeat(request)
+        key = int(rank)
+        self._record_demand(key, now)
+        self._asked[key] += 1
+        if remaining < 1.0 or rank < self._find_level(remaining):
             return False
+        self._admitted[key] += 1
         self._repeats.add(now)
         return True
 
@@ -152,10 +192,11 @@
         allowed = USABLE_SHARE * (limits.ratio * firsts + slack)
         return allowed - self._repeats.sum(0, STEPS_PER_WINDOW + 1)
 
-    def _record_demand(self, request, now):
+    def _record_demand(self, key, now):
         decay = math.exp((self._demand_time - now) / DEMAND_DECAY_SECONDS)
-        self._demand = [count * decay for count in self._demand]
-        self._demand[request.importance] += 1.0
+        decayed = {key: count * decay for key, count in self._demand.items()}
+        self._demand = {key: n for key, n in decayed.items() if n > MIN_DEMAND}
+        self._demand[key] = self._demand.get(key, 0.0) + 1.0
         self._demand_time = now
 
     def _find_level(self, remaining):
@@ -165,10 +206,37 @@
             remaining: Repeats that may still be admitted in this window.
         """
         # One is subtracted because a single lost request is not a rate.
-        rates = [max(0.0, count - 1.0) / DEMAND_DECAY_SECONDS for count in self._demand]
-        supply = remaining / (SPENDING_SHARE * self._limits.window)
-        top = max((i for i, rate in enumerate(rates) if rate > 0.0), default=0)
-        extra = [0.0] * len(rates)
-        extra[top] = remaining / (TOP_SPENDING_SHARE * self._limits.window) - supply
-        (level,) = admission.find_levels([(rates, 1)], supply, extra)
-        return level
+        rates = {
+            key: (count - 1.0) / DEMAND_DECAY_SECONDS
+            for key, count in self._demand.items()
+            if count > 1.0
+        }
+        top_importance = max(rates, default=0) // STAGE_COUNT
+        higher = 0.0
+        for key in sorted(rates, reverse=True):
+            is_top = key // STAGE_COUNT == top_importance
+            share = TOP_SPENDING_SHARE if is_top else SPENDING_SHARE
+            supply = max(0.0, remaining / (share * self._limits.window) - higher)
+            if rates[key] > supply:
+                return key + 1.0 - supply / rates[key]
+            higher += rates[key]
+        return 0.0
+
+
+def _describe_class(key):
+    """Return the name of the importance of a class and its fewest calls left."""
+    importance, order = divmod(key, STAGE_COUNT)
+    stage = STAGE_COUNT - 1 - order
+    fewest = STAGE_LIMITS[stage - 1] + 1 if stage else 0
+    return messages.Importance(importance).name, fewest
+
+
+def rank_repeat(request):
+    """Return the rank of a request among those that ask for a repeat.
+
+    Its integral part combines importance and stage, the fractional part is the hash
+    of the root request.
+    """
+    stage = bisect.bisect_left(STAGE_LIMITS, request.calls_left)
+    order = (request.importance + 1) * STAGE_COUNT - 1 - stage
+    return order + messages.hash_root(request.root)
