Keep the calls of one request together while timeouts vary and calls fail

What callers saw: payments and orders fail although the repeats that are left go to calls like theirs.

Change: the call answered last on a connection tells its request unless it failed; a matching deadline corrects that only while few requests run, since by chance one call in six matched a deadline. Requests whose call failed make no first call. The number of calls is learnt while nine of ten requests succeed.

--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -421,3 +421,53 @@
         second = self.graph.begin_call("queue", BACKEND + 1, 100.8, 100.1)
         self.assertIs(first.run, second.run)
         self.assertEqual(self.graph.count_calls_left(second), 3)
+
+    def test_timeouts_that_vary_leave_the_calls_of_a_request_together(self):
+        """Guards against guessing anew for each call whose timeout is its own."""
+        for number in range(12):
+            importance = 3 if number == 0 else 1
+            running = run("index", 205.0 + number, importance, f"r{number}")
+            self.graph.start(f"a{number}", running, 200.0)
+        first = self.graph.begin_call("queue", BACKEND, 200.7, 200.0)
+        self.graph.end_call(first, BACKEND, 200.05)
+        for made, left in ((2, 0.64), (3, 0.69), (4, 0.61)):
+            now = 200.0 + 0.05 * (made - 1)
+            parent = self.graph.begin_call("queue", BACKEND, now + left, now)
+            self.assertEqual((parent.run, parent.made), (first.run, made))
+            self.graph.end_call(parent, BACKEND, now + 0.05)
+
+    def test_requests_that_fail_do_not_change_how_many_calls_follow(self):
+        """Guards against taking the first call of four for the second.
+
+        While most requests fail, the calls of those that don't are taken for others'.
+        """
+        for number in range(60):
+            self.make_calls(20 + number)
+        for number in range(60):
+            start = 900.0 + number
+            self.graph.start("a", run("index", start + 2.0), start)
+            failed = self.graph.begin_call("queue", BACKEND, start + 0.7, start)
+            self.graph.end_call(failed, BACKEND, start + 0.02, succeeded=False)
+            self.graph.end("a", completed=number % 3 == 0)
+        self.assertEqual(self.make_calls(90), [3, 2, 1, 0])
+
+    def test_failed_call_ends_the_sequence_on_its_connection(self):
+        """Guards against a failed request's importance for another one's first call."""
+        self.graph.start("1", run("index", 205.0, 3, "pay"), 200.0)
+        failed = self.graph.begin_call("queue", BACKEND, 200.7, 200.0)
+        self.graph.end_call(failed, BACKEND, 200.02, succeeded=False)
+        self.graph.start("2", run("index", 205.0, 1, "browse"), 200.02)
+        parent = self.graph.begin_call("queue", BACKEND, 200.721, 200.021)
+        self.assertEqual(parent.run.request.root, "browse")
+
+    def test_calls_keep_their_root_when_the_request_guessed_has_ended(self):
+        """Guards against telling the later calls of a request as those of others."""
+        self.graph.start("1", run("index", 205.0, 3, "pay"), 200.0)
+        self.graph.start("2", run("index", 205.0, 1, "browse"), 200.0)
+        first = self.graph.begin_call("queue", BACKEND, 200.7, 200.0)
+        self.graph.end_call(first, BACKEND, 200.02)
+        attempt = "1" if first.run.request.root == "pay" else "2"
+        self.graph.end(attempt, completed=False)
+        second = self.graph.begin_call("queue", BACKEND, 200.721, 200.021)
+        self.assertIs(second.run, first.run)
+        self.assertEqual(self.graph.count_calls_left(second), 2)
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -50,11 +50,15 @@
 # Upper bound on how late a busy event loop reads a call. A call can't expire later
 # than all running requests by more than this.
 MAX_READ_DELAY_SECONDS = 0.25
+# Running requests up to which some 6 % of the calls match a deadline by chance.
+MAX_CORRECTING_RUNS = 8
 # Longest time between an answer and the next call of the same request.
 MAX_NEXT_CALL_DELAY_SECONDS = 0.003
 # Weight of a new sample in the means of a call pattern: an average over about the last
 # fifty requests.
 PATTERN_WEIGHT = 0.02
+# Share of the requests of a route that must succeed for their calls to be counted.
+MIN_COMPLETED_SHARE = 0.9
 # A request counts as done with its calls when it is within this of the mean number.
 MIN_REMAINING_CALLS = 0.5
 # The first call of a request is still expected until this many times its usual delay
@@ -129,11 +133,14 @@
         last_called_route: Route of its latest call, "" before the first.
         is_confirmed: Whether a matching deadline has confirmed one of its calls.
         has_ended: Whether the backend server no longer executes it.
+        has_failed_call: Whether one of its calls failed, so that it probably makes no
+            more.
     """
 
     __slots__ = (
         "calls_in_flight",
         "has_ended",
+        "has_failed_call",
         "importance",
         "is_confirmed",
         "last_called_route",
@@ -151,6 +158,7 @@
         self.last_called_route = ""
         self.is_confirmed = False
         self.has_ended = False
+        self.has_failed_call = False
 
 
 class Parent(NamedTuple):
@@ -162,11 +170,13 @@
             midpoint of theirs.
         due: When its answer is due; where several runs may have made the call, the
             earliest of theirs that hasn't passed.
+        made: Number of calls that the request has made, with this one.
     """
 
     run: Run
     importance: int
     due: float
+    made: int = 1
 
 
 class CallPattern:
@@ -177,16 +187,32 @@
         delay: Mean time until the first call in seconds.
     """
 
-    __slots__ = ("_delay_samples", "_ended_requests", "calls", "delay")
+    __slots__ = (
+        "_completed_share",
+        "_delay_samples",
+        "_ended_requests",
+        "calls",
+        "delay",
+    )
 
     def __init__(self):
         self.calls = 0.0
         self.delay = 0.0
+        self._completed_share = 1.0
         self._ended_requests = 0
         self._delay_samples = 0
 
-    def record_end(self, made):
-        """Update the mean number of calls with one request that has ended."""
+    def record_end(self, made, completed):
+        """Update the mean number of calls with one request that has ended.
+
+        Args:
+            made: Number of calls that were taken for its own.
+            completed: Whether it succeeded, so that it has made all its calls. While
+                many don't, the calls of those that do are often taken for others'.
+        """
+        self._completed_share += PATTERN_WEIGHT * (completed - self._completed_share)
+        if not completed or self._completed_share < MIN_COMPLETED_SHARE:
+            return
         self._ended_requests += 1
         self.calls += max(PATTERN_WEIGHT, 1.0 / self._ended_requests) * (
             made - self.calls
@@ -275,8 +301,7 @@
         del self._deadline_buckets[bucket][attempt]
         if not self._deadline_buckets[bucket]:
             del self._deadline_buckets[bucket]
-        if completed:
-            self._find_pattern(run).record_end(run.made)
+        self._find_pattern(run).record_end(run.made, completed)
         if not answered:
             heapq.heappush(self._abandoned_deadlines, deadline)
 
@@ -386,17 +411,18 @@
             is_to_local_service: Whether it goes to the service of the local backend
                 server.
         """
-        matching = ()
         has_full_timeout = self._has_full_timeout(route, deadline - now)
-        if not has_full_timeout:
-            matching = self._find_matching(deadline)
         previous = self._find_previous(route, connection, now)
-        if previous is not None and (has_full_timeout or previous.run in matching):
-            parent = previous
+        matched = None
+        if not has_full_timeout and (previous is None or self._can_correct()):
+            matched = self._match_deadline(route, deadline)
+        if previous is None:
+            parent = matched
+        elif matched is None or matched.run is previous.run:
+            parent = previous._replace(made=previous.made + 1)
         else:
-            parent = self._match_deadline(matching, route, deadline)
-            if parent is not None and previous is not None:
-                parent = _build_parent(parent.run, previous.importance)
+            parent = _build_parent(matched.run, previous.importance)
+            parent = parent._replace(made=previous.made + 1)
         if parent is None:
             if is_to_local_service:
                 self._record_unmatched(route)
@@ -417,22 +443,30 @@
         """
         run = parent.run
         calls = self._find_pattern(run).calls
-        not_made = max(calls - run.made, 0.0)
+        not_made = max(calls - parent.made, 0.0)
         in_flight = max(run.calls_in_flight - 1, 0)
         # A call of another request may have been taken for one of this request.
         own = min(not_made + in_flight, max(calls - 1.0, 0.0))
         return round(own + run.request.calls_left * max(calls, 1.0))
 
-    def end_call(self, parent, connection, now):
+    def end_call(self, parent, connection, now, succeeded=True):
         """Record that a call of a `Parent` has been answered.
 
+        After a failed call the connection is free for another request. If the next call
+        on it counted as one of the same request, each failure would give a request's
+        importance and progress to the first call of another one.
+
         Args:
             parent: The `Parent` that `begin_call` returned.
             connection: Number of the connection that the call came on.
             now: Time of the loop's clock in seconds.
+            succeeded: Whether the call succeeded.
         """
         parent.run.calls_in_flight -= 1
         self._last_answered.pop(connection, None)
+        if not succeeded:
+            parent.run.has_failed_call = True
+            return
         self._last_answered[connection] = (parent, now)
         if len(self._last_answered) > MAX_CONNECTIONS:
             self._last_answered.popitem(last=False)
@@ -486,16 +520,22 @@
     def _find_previous(self, route, connection, now):
         """Return the parent of the call just answered on a connection, or None.
 
-        Returns None if that parent has ended, has made its latest call to another
-        route or has probably made all its calls.
+        Returns None if that parent has made its latest call to another route or all its
+        calls. If it has ended while others like it run, it was the wrong one; with its
+        importance and root, the calls of one of the others still belong together.
         """
         parent, answered = self._last_answered.get(connection, (None, 0.0))
         if parent is None or now - answered > MAX_NEXT_CALL_DELAY_SECONDS:
             return None
         run = parent.run
-        if run.has_ended or run.last_called_route != route:
+        if run.last_called_route != route:
+            return None
+        if run.has_ended and not self._is_running(run.request.route):
             return None
-        return parent if self._find_pattern(run).has_more(run.made) else None
+        return parent if self._find_pattern(run).has_more(parent.made) else None
+
+    def _is_running(self, route):
+        return any(run.request.route == route for run in self._running.values())
 
     def _find_matching(self, deadline):
         """Return the runs with the same deadline as a call, within the tolerance."""
@@ -507,15 +547,24 @@
             if abs(run.request.deadline - deadline) < DEADLINE_TOLERANCE_SECONDS
         ]
 
-    def _match_deadline(self, matching, route, deadline):
+    def _can_correct(self):
+        """Return whether a matching deadline overrides the order of calls.
+
+        With many running requests, deadlines match by chance more often than that
+        connection misleads.
+        """
+        return len(self._running) <= MAX_CORRECTING_RUNS
+
+    def _match_deadline(self, route, deadline):
         """Return the parent whose deadline is nearest to that of a call, or None."""
+        matching = self._find_matching(deadline)
         if not matching:
             return None
         expected = deadline + DEADLINE_ROUNDING_SECONDS / 2.0
         run = min(matching, key=lambda run: abs(run.request.deadline - expected))
         run.is_confirmed = True
         self._record_edge(run.request.route, route)
-        return Parent(run, run.importance, run.request.due)
+        return Parent(run, run.importance, run.request.due, run.made + 1)
 
     def _infer_parent(self, route, deadline, now):
         """Return a parent that may have made a call, or None.
@@ -533,6 +582,7 @@
         ]
         if not possible:
             return None
+        possible = [run for run in possible if not run.has_failed_call] or possible
         first = possible[0].request.route
         if all(run.request.route == first for run in possible):
             self._record_edge(first, route)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -283,11 +283,14 @@
         parent = self._find_parent(request, route, connection, expires)
         if parent is None:
             return await self._serve_root(request, route)
+        succeeded = False
         try:
             call = self._inherit(request, parent)
-            return await self.forwarder.serve(call, route.max_endpoints)
+            answer = await self.forwarder.serve(call, route.max_endpoints)
+            succeeded = answer.succeeded
+            return answer
         finally:
-            self.graph.end_call(parent, connection, self._loop.time())
+            self.graph.end_call(parent, connection, self._loop.time(), succeeded)
 
     async def _serve_root(self, request, route):
         """Serve a caller's request within the quota of its workspace."""
