Send work that was in flight at a crash to one endpoint

What callers saw: a service is away, all of its endpoints crashed within 0.15 s, since the same crashing request came several times before its first answer.

Cause, traced with each daemon's crash records (docs/incidents/at-once.md): work in flight at one crash may run anywhere, so the second attempt of one request and the first of the next ran at two endpoints at the same moment; one began 3 ms after the second crash, 9 ms before its daemon knew of it. A request whose connection was refused since its backend server had just crashed was sent on before the crash was told.

Change: daemons send work of one crash to one endpoint, chosen by a hash of the work and the addresses, the same at all that know of the crash and of the same members, connected or not. A request that wasn't sent waits for the check of a crash in progress.

--- a/test/backends/test_crashes.py
+++ b/test/backends/test_crashes.py
@@ -47,3 +47,15 @@
         self.assertEqual(both, [True, True])
         self.assertTrue(await self.detector.check(BACKEND))
         self.assertEqual(self.reports, [(BACKEND, (first, second))])
+
+    async def test_crash_is_told_before_a_request_that_was_not_sent_goes_elsewhere(
+        self,
+    ):
+        """Guards against sending the cause on before its crash is known."""
+        self.detector.start(requests.build("a"))
+        self.listener.close()
+        check = asyncio.create_task(self.detector.check(BACKEND))
+        await asyncio.sleep(0)
+        await self.detector.wait_for_check()
+        self.assertEqual(len(self.reports), 1)
+        await check
--- a/test/emulator/test_crashes.py
+++ b/test/emulator/test_crashes.py
@@ -4,6 +4,7 @@
 import unittest
 
 from emulator import backend, caller, mesh, samplemesh, store
+from whinwinch import messages
 
 PATH = "/status/"
 CRASHING = caller.Kind("d.example", f"{PATH}crash", "GET", 2.0, 1.0, retries=1)
@@ -25,6 +26,21 @@
 }
 
 
+def forwarded_request(kind):
+    """Return a request of a kind as daemons forward it."""
+    return messages.Request(
+        "attempt",
+        "root",
+        "deep",
+        "status",
+        kind.method,
+        kind.path,
+        messages.Importance.NORMAL,
+        0.0,
+        headers=(("Host", kind.host),),
+    )
+
+
 class CrashTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.mesh = mesh.Mesh(SERVICES, CONFIGURATION)
@@ -52,6 +68,13 @@
         crashes = [crash for each in self.backends for crash in each.crashes]
         return sorted(crashes, key=lambda crash: crash.time)
 
+    def check_some_endpoint_is_always_up(self):
+        crashes = self.list_crashes()
+        for crash in crashes:
+            since = crash.time - backend.RESTART_SECONDS
+            down = [each for each in crashes if since < each.time <= crash.time]
+            self.assertLess(len(down), len(self.backends))
+
     async def test_crashing_request_is_kept_away_after_its_third_crash(self):
         """Guards against one request ending every backend server, again and again."""
         await self.send_series(CRASHING, CONTACT_SECONDS + 3.0, 0.2)
@@ -84,14 +107,32 @@
         for number in range(15):
             await self.send(CRASHING, number)
             await asyncio.sleep(0.1)
-        crashes = self.list_crashes()
-        self.assertGreaterEqual(len(crashes), 3)
-        for crash in crashes:
-            since = crash.time - backend.RESTART_SECONDS
-            down = [each for each in crashes if since < each.time <= crash.time]
-            self.assertLess(len(down), len(self.backends))
+        self.assertGreaterEqual(len(self.list_crashes()), 3)
+        self.check_some_endpoint_is_always_up()
         self.assertTrue(all(result.whole for result in await innocent))
 
+    async def test_attempts_at_the_same_moment_end_one_more_endpoint(self):
+        """Guards against a service that is away because of requests sent at once."""
+        routes = CONFIGURATION["routes"]
+        once = {**routes["status"], "max_attempts": 1}
+        self.mesh.configure(
+            {**CONFIGURATION, "version": "r4", "routes": {"status": once}}
+        )
+        instances = [member.node.instance for member in self.mesh.members]
+        await self.mesh.wait_until(
+            lambda: all(instance.table.version == 4 for instance in instances)
+        )
+        # Connects all daemons to each other.
+        await asyncio.gather(*(self.send(INNOCENT, number) for number in range(60)))
+        crashing = CRASHING._replace(retries=0)
+        await self.send(crashing, 0)
+        probe = forwarded_request(crashing)
+        await self.mesh.wait_until(
+            lambda: all(i.crash_history.is_involved(probe) for i in instances)
+        )
+        await asyncio.gather(*(self.send(crashing, number) for number in range(5)))
+        self.check_some_endpoint_is_always_up()
+
     async def test_endpoints_that_crash_by_themselves_condemn_no_request(self):
         """Guards against refusing popular work after crashes of other causes."""
         popular = asyncio.create_task(self.send_series(INNOCENT, 4.0, 0.005))
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -3,7 +3,7 @@
 import unittest
 
 from test import requests
-from whinwinch import crashes
+from whinwinch import crashes, messages
 
 HEADERS = (("Host", "h"), ("X-Request-Id", "1"))
 
@@ -141,3 +141,20 @@
         expired = self.history.list_expired(2.0 * crashes.RETENTION_SECONDS)
         self.assertEqual(len(expired), crashes.MAX_RECORDS)
         self.assertEqual(expired[0], "i-10")
+
+    def test_all_daemons_send_work_of_a_crash_to_the_same_endpoint(self):
+        """Guards against as many crashes at once as there are endpoints."""
+        endpoints = [messages.Endpoint(f"d{n}", f"10.0.0.{n}:1") for n in range(3)]
+        chosen = self.history.choose_endpoint(self.cause, endpoints)
+        other = crashes.CrashHistory()
+        self.assertEqual(other.choose_endpoint(self.cause, endpoints[::-1]), chosen)
+        left = [each for each in endpoints if each != chosen]
+        self.assertIn(self.history.choose_endpoint(self.cause, left), left)
+
+    def test_work_is_involved_in_a_crash_until_it_is_answered(self):
+        """Guards against one endpoint for popular work that ran beside the cause."""
+        self.assertFalse(self.history.is_involved(self.beside))
+        self.crash("i-1", self.cause, self.beside)
+        self.assertTrue(self.history.is_involved(self.beside))
+        self.history.record_answer(self.beside)
+        self.assertFalse(self.history.is_involved(self.beside))
--- a/test/test_subsets.py
+++ b/test/test_subsets.py
@@ -154,6 +154,15 @@
         usable = subsets.choose_usable(mesh, lambda address: Reachability.RETRY_DUE)
         self.assertEqual(list(usable.endpoints), mesh)
 
+    def test_daemons_of_a_small_service_find_the_same_endpoints_sound(self):
+        """Guards against daemons that differ only for want of a connection."""
+        mesh = build_mesh([(2, 1)])
+        reach = {e.address: Reachability.UNTRIED for e in mesh}
+        reach[mesh[0].address] = Reachability.UP
+        self.assertEqual(subsets.list_sound(mesh, reach.get), mesh)
+        reach[mesh[1].address] = Reachability.BACKING_OFF
+        self.assertEqual(subsets.list_sound(mesh, reach.get), [mesh[0], mesh[2]])
+
     def test_second_daemon_of_a_zone_changes_few_connections(self):
         """A second daemon joins a zone that had only one.
 
--- a/whinwinch/backends/crashes.py
+++ b/whinwinch/backends/crashes.py
@@ -37,6 +37,11 @@
         """Record that a request was answered or can't be answered any more."""
         self._in_flight.pop(request.attempt, None)
 
+    async def wait_for_check(self):
+        """Wait until the check in progress has ended, if there is one."""
+        if self._check is not None:
+            await asyncio.shield(self._check)
+
     def record_answer(self):
         """Record an answer of the present backend server: it has not crashed.
 
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -346,6 +346,9 @@
             )
         except client.NotSentError as error:
             logging.info("failed to reach the backend server: %s", error)
+            # The request is sent on to the next endpoint. The daemon that does so must
+            # know of a crash by then.
+            await self._crash_detector.wait_for_check()
             return _build_not_run(request, Reason.NOT_SENT)
         except client.BrokenError as error:
             logging.info(
--- a/whinwinch/crashes.py
+++ b/whinwinch/crashes.py
@@ -16,6 +16,8 @@
 import math
 from typing import NamedTuple
 
+from . import messages
+
 FINGERPRINT_BYTES = 8
 # Crashes after which work runs alone. After a single one, all that ran beside the cause
 # would wait for each other.
@@ -139,6 +141,31 @@
         """Return whether a request must run alone among suspect ones."""
         return len(self._find_involved(request)) >= MIN_SUSPECT_CRASHES
 
+    def is_involved(self, request):
+        """Return whether a request was in flight at a crash and not answered since."""
+        return bool(self._find_involved(request))
+
+    def choose_endpoint(self, request, endpoints):
+        """Return the only endpoint that runs work which was in flight at a crash.
+
+        All daemons that know of the crash choose the same one. If the work causes
+        crashes, attempts that run at the same moment then end one endpoint, not as many
+        as they reach before the next crash is known.
+
+        Args:
+            request: The `messages.Request`.
+            endpoints: The `messages.Endpoint` tuples that it may be sent to.
+
+        Returns:
+            None if there is no endpoint.
+        """
+        fingerprint = build_fingerprint(request)
+        return max(
+            endpoints,
+            key=lambda endpoint: messages.hash_root(fingerprint + endpoint.address),
+            default=None,
+        )
+
     def find_hold(self, request, now):
         """Return for how many seconds suspect work spares a last endpoint."""
         crashes = self._find_involved(request).values()
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -165,6 +165,10 @@
             request: The `messages.Request`.
             sent: The `tries.Tries` of the request.
         """
+        if self._crash_history.is_involved(request):
+            chosen = self._choose_only_endpoint(request, sent)
+            if chosen is not None:
+                return Choice(chosen, "the only endpoint for work in flight at a crash")
         local_address = self._local_address
         endpoints = self._find_usable(request.service)
         excluded = sent.find_excluded([endpoint.address for endpoint in endpoints])
@@ -175,6 +179,14 @@
         now = self._loop.time()
         return self._placement.choose(request, endpoints, now, excluded)
 
+    def _choose_only_endpoint(self, request, sent):
+        """Return the endpoint to which all daemons send work that was in a crash."""
+        preferred = self._preferences.list_preferred(request.service)
+        sound = subsets.list_sound(preferred, self._find_reach)
+        excluded = sent.find_excluded([endpoint.address for endpoint in sound])
+        open_ = [e for e in sound if not e.leaving and e.address not in excluded]
+        return self._crash_history.choose_endpoint(request, open_)
+
     def _find_usable(self, service):
         """Return the endpoints of a service whose daemons can be reached."""
         preferred = self._preferences.list_preferred(service)
--- a/whinwinch/subsets.py
+++ b/whinwinch/subsets.py
@@ -118,6 +118,20 @@
     return Usable(by_reach[Reachability.UP] or untried or due, (*untried, *due))
 
 
+def list_sound(preferred, find_reach):
+    """Return the endpoints of the subset that aren't known to be unreachable.
+
+    Two daemons that know the same members of a small service return the same endpoints,
+    connected to them or not.
+
+    Args:
+        preferred: `Endpoint` tuples in the order in which the daemon prefers them.
+        find_reach: Function that returns the `Reachability` of an address.
+    """
+    sound = (Reachability.UP, Reachability.UNTRIED)
+    return [e for e in preferred[:SUBSET_SIZE] if find_reach(e.address) in sound]
+
+
 def find_position(own_address, zone, all_endpoints):
     """Return the position of a daemon in its zone's order, from 0 to below 1.
 
