--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -29,6 +29,7 @@
 import math
 from typing import NamedTuple
 
+from . import callpatterns
 from .messages import Importance, prefer
 
 # A single observation may be an error: a request may end just before its last call
@@ -54,13 +55,6 @@
 MAX_CORRECTING_RUNS = 8
 # Longest time between an answer and the next call of the same request.
 MAX_NEXT_CALL_DELAY_SECONDS = 0.003
-# Weight of a new sample in the means of a call pattern: an average over about the last
-# fifty requests.
-PATTERN_WEIGHT = 0.02
-# Share of the requests of a route that must succeed for their calls to be counted.
-MIN_COMPLETED_SHARE = 0.9
-# A request counts as done with its calls when it is within this of the mean number.
-MIN_REMAINING_CALLS = 0.5
 # The first call of a request is still expected until this many times its usual delay
 # has passed.
 MAX_FIRST_CALL_DELAYS = 4.0
@@ -179,60 +173,6 @@
     made: int = 1
 
 
-class CallPattern:
-    """Moving averages of the calls that requests of one route make.
-
-    Attributes:
-        calls: Mean number of calls per request.
-        delay: Mean time until the first call in seconds.
-    """
-
-    __slots__ = (
-        "_completed_share",
-        "_delay_samples",
-        "_ended_requests",
-        "calls",
-        "delay",
-    )
-
-    def __init__(self):
-        self.calls = 0.0
-        self.delay = 0.0
-        self._completed_share = 1.0
-        self._ended_requests = 0
-        self._delay_samples = 0
-
-    def record_end(self, made, completed):
-        """Update the mean number of calls with one request that has ended.
-
-        Args:
-            made: Number of calls that were taken for its own.
-            completed: Whether it succeeded, so that it has made all its calls. While
-                many don't, the calls of those that do are often taken for others'.
-        """
-        self._completed_share += PATTERN_WEIGHT * (completed - self._completed_share)
-        if not completed or self._completed_share < MIN_COMPLETED_SHARE:
-            return
-        self._ended_requests += 1
-        self.calls += max(PATTERN_WEIGHT, 1.0 / self._ended_requests) * (
-            made - self.calls
-        )
-
-    def record_first_call(self, delay):
-        """Update the mean delay with the time until one request's first call."""
-        self._delay_samples += 1
-        self.delay += max(PATTERN_WEIGHT, 1.0 / self._delay_samples) * (
-            delay - self.delay
-        )
-
-    def has_more(self, made):
-        """Return whether a request that has made `made` calls probably makes more."""
-        return (
-            self._ended_requests < MIN_OBSERVATIONS
-            or made < self.calls - MIN_REMAINING_CALLS
-        )
-
-
 class CallGraph:
     """The routes and calls that one daemon has observed.
 
@@ -260,7 +200,7 @@
         # `Edge` tuples that other daemons reported.
         self._reported_edges = set()
         self._max_time_left = {}
-        self._patterns = collections.OrderedDict()
+        self._patterns = callpatterns.CallPatterns()
         # By connection: the parent of the call answered last on it, and when.
         self._last_answered = collections.OrderedDict()
         self._rotation = 0
@@ -617,13 +557,7 @@
         return abs(now - run.started - self._find_pattern(run).delay)
 
     def _find_pattern(self, run):
-        route = run.request.route
-        pattern = self._patterns.get(route)
-        if pattern is None:
-            pattern = self._patterns[route] = CallPattern()
-            if len(self._patterns) > MAX_ROUTES:
-                self._patterns.popitem(last=False)
-        return pattern
+        return self._patterns.find(run.request.route)
 
     def _prefer_known_parents(self, possible, route):
         """Return the runs whose route is a confirmed parent, or all if none is."""
