Bound the number of calls left that a message carries

Such a number is possible: it is multiplied at each hop, and sixteen calls at each of sixteen hops make 2^64; the call would fail at the daemon that sends it.

Change: the call graph counts up to 1,000. The test draws the field from that range, as it does for the budget of retries; a new test, failing before, bounds what is told.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from whinwinch import events, reportedlevels
+from whinwinch import callgraph, events, reportedlevels
 from whinwinch.daemons import exchange, frames, links
 from whinwinch.logservice import keyed
 from whinwinch.messages import (
@@ -55,6 +55,7 @@
     body=st.binary(max_size=20),
     repeatable=st.booleans(),
     again=st.booleans(),
+    calls_left=st.integers(0, callgraph.MAX_CALLS_LEFT),
 )
 COUNTS = st.integers(0, 99)
 ANSWERS = st.builds(
--- a/test/test_callgraph.py
+++ b/test/test_callgraph.py
@@ -414,6 +414,11 @@
         """
         self.assertEqual(self.make_calls(9, calls_left=1), [7, 6, 5, 4])
 
+    def test_number_of_calls_left_is_bounded(self):
+        """Guards against a number that grows at each hop until no message holds it."""
+        told = self.make_calls(9, calls_left=callgraph.MAX_CALLS_LEFT)
+        self.assertEqual(told, [callgraph.MAX_CALLS_LEFT] * 4)
+
     def test_calls_in_flight_beside_one_are_counted(self):
         """Guards against repeating one of two calls while the other is given up."""
         self.graph.start("a", run("index", 102.0), 100.0)
--- a/whinwinch/callgraph.py
+++ b/whinwinch/callgraph.py
@@ -55,6 +55,9 @@
 MAX_CORRECTING_RUNS = 8
 # Longest time between an answer and the next call of the same request.
 MAX_NEXT_CALL_DELAY_SECONDS = 0.003
+# Calls left beyond which they aren't counted: multiplied at each of 16 hops, the number
+# would exceed what a message can carry, and the call would fail.
+MAX_CALLS_LEFT = 1000
 # The first call of a request is still expected until this many times its usual delay
 # has passed.
 MAX_FIRST_CALL_DELAYS = 4.0
@@ -387,7 +390,8 @@
         in_flight = max(run.calls_in_flight - 1, 0)
         # A call of another request may have been taken for one of this request.
         own = min(not_made + in_flight, max(calls - 1.0, 0.0))
-        return round(own + run.request.calls_left * max(calls, 1.0))
+        calls_left = own + run.request.calls_left * max(calls, 1.0)
+        return min(round(calls_left), MAX_CALLS_LEFT)
 
     def end_call(self, parent, connection, now, succeeded=True):
         """Record that a call of a `Parent` has been answered.
