--- a/review/3/play.py
+++ b/review/3/play.py
@@ -12,15 +12,7 @@
 
 from parts import deployment, wire  # noqa: E402
 
-SERVICE = "tracking"
 HOST = "pellets.example"
-# Requests a second at each of the two machines that have clients.
-REQUESTS_PER_SECOND = 6
-# Work on delivery-status-read: the site has a mean of 0.64 s and at most 3.8 s.
-MIN_WORK = 1.6
-MAX_WORK = 3.2
-DEADLINE = 8.0
-ROUTE_TIMEOUT = 4.0
 CALM_SECONDS = 8.0
 # Seconds between the stops of two daemons.
 GAP_SECONDS = 1.0
@@ -31,21 +23,64 @@
 # is at work in the last sixth of the grace time.
 EXCUSED_SECONDS = 3.0
 LAST_SIXTH = deployment.GRACE_SECONDS * 5 / 6
+
+
+class Kind(NamedTuple):
+    """A kind of request, with figures inside those of the site.
+
+    Attributes:
+        service: Service that its route leads to.
+        method: HTTP method.
+        kind: "safe" or "unsafe".
+        priority: Rank of its route.
+        work: Shortest and longest work in seconds.
+        timeout: Timeout of its route in seconds.
+        deadline: Seconds that its clients wait.
+        per_second: Requests a second at each machine that has clients.
+    """
+
+    service: str
+    method: str
+    kind: str
+    priority: int
+    work: tuple
+    timeout: float
+    deadline: float
+    per_second: float
+
+
+# delivery-status-read: work up to 3.8 s, timeout 4 s, deadline 8 s.
+STATUS = Kind("tracking", "GET", "safe", 2, (2.4, 3.6), 4.0, 8.0, 5.0)
+# bulk-order-place: work up to 1.6 s, timeout 1.2 s, deadline 5 s.
+ORDER = Kind("orders", "POST", "unsafe", 0, (0.8, 1.1), 1.2, 5.0, 5.0)
+KINDS = {kind.service: kind for kind in (STATUS, ORDER)}
+# Service and zone of each machine.
+MACHINES = (
+    ("tracking", "ashanti-a"),
+    ("tracking", "ashanti-a"),
+    ("tracking", "ashanti-b"),
+    ("orders", "ashanti-b"),
+    ("orders", "ashanti-b"),
+)
 CONFIGURATION = {
     "version": "r7",
     "routes": {
-        "r-status": {
+        f"r-{service}": {
             "host": HOST,
-            "path_prefix": "/status/",
-            "kind": "safe",
-            "timeout": "4000ms",
+            "path_prefix": f"/{service}/",
+            "kind": kind.kind,
+            "timeout": f"{int(kind.timeout * 1000)}ms",
             "target_latency": "2000ms",
-            "priority": 2,
-            "service": SERVICE,
+            "priority": kind.priority,
+            "service": service,
             "max_attempts": 2,
         }
+        for service, kind in KINDS.items()
+    },
+    "services": {
+        service: {"health_check_path": "/healthz", "max_connections": 352}
+        for service in KINDS
     },
-    "services": {SERVICE: {"health_check_path": "/healthz", "max_connections": 352}},
     "limits": {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
@@ -60,6 +95,7 @@
 
     Attributes:
         request: Its id.
+        kind: Its `Kind`.
         daemon: The daemon that its client sent it to.
         sent: Time at which it was sent.
         ended: Time of its answer, or of the end of its connection.
@@ -67,14 +103,15 @@
     """
 
     request: str
+    kind: Kind
     daemon: deployment.Daemon
     sent: float
     ended: float
     status: int
 
 
-class Tracking(deployment.Endpoint):
-    """An endpoint whose work takes seconds."""
+class Slow(deployment.Endpoint):
+    """An endpoint whose work takes as long as its kind of request says."""
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, slots=42, **kwargs)
@@ -82,7 +119,7 @@
 
     async def answer(self, request, writer):
         """Run a request and return the bytes of its answer."""
-        self.work = self._random.uniform(MIN_WORK, MAX_WORK)
+        self.work = self._random.uniform(*KINDS[self.service].work)
         return await super().answer(request, writer)
 
 
@@ -114,9 +151,8 @@
     """Return whether planned stops cut off nothing."""
     record = machines.record
     machines.store.configure(CONFIGURATION)
-    zones = ("ashanti-a", "ashanti-a", "ashanti-b", "ashanti-b")
-    for number, name in enumerate(zones):
-        await machines.add(Tracking(machines, f"i-{number}", SERVICE), name)
+    for number, (service, name) in enumerate(MACHINES):
+        await machines.add(Slow(machines, f"i-{number}", service), name)
     await machines.wait_ready()
     await asyncio.sleep(deployment.CONTACT_SECONDS)
     daemons = [machine.daemon for machine in machines.machines[:2]]
@@ -124,8 +160,9 @@
     async with asyncio.TaskGroup() as tasks:
         running = [tasks.create_task(zone.keep_probing(each)) for each in daemons]
         running += [
-            tasks.create_task(keep_sending(each, zone, ended, record))
+            tasks.create_task(keep_sending(kind, each, zone, ended, record))
             for each in daemons
+            for kind in KINDS.values()
         ]
         await asyncio.sleep(CALM_SECONDS)
         stops = []
@@ -172,13 +209,17 @@
         record.write(
             "cut-off",
             request=each.request,
+            kind=each.kind.kind,
             sent_after_signal=round(since, 3),
             seconds=round(seconds, 3),
         )
     statuses = dict(collections.Counter(each.status for each in ended))
     record.write("answers", statuses=statuses)
     print(f"answers {statuses}, 0 for none")
-    print(f"cut off although accepted later than 3 s after SIGTERM: {len(cut)}")
+    unsafe = sum(each.kind is ORDER for each in cut)
+    print(
+        f"accepted after SIGTERM, run and cut off: {len(cut)}, {unsafe} of them unsafe"
+    )
     return not cut
 
 
@@ -187,41 +228,41 @@
     since, until = each.sent - signalled, each.ended - signalled
     if not 0.0 <= until <= deployment.GRACE_SECONDS + 1.0:
         return False
-    if each.ended - each.sent >= min(ROUTE_TIMEOUT, DEADLINE):
+    if each.ended - each.sent >= each.kind.timeout:
         return False
     return not (since <= EXCUSED_SECONDS and until >= LAST_SIXTH)
 
 
-async def keep_sending(daemon, zone, ended, record):
+async def keep_sending(kind, daemon, zone, ended, record):
     """Send requests at a machine, while its clients get work, until cancelled."""
     async with asyncio.TaskGroup() as tasks:
         number = 0
         while True:
             if zone.gets_work(daemon):
-                identifier = f"{daemon.name}-{number}"
-                tasks.create_task(send(daemon, identifier, ended, record))
+                identifier = f"{daemon.name}-{kind.service}-{number}"
+                tasks.create_task(send(kind, daemon, identifier, ended, record))
             number += 1
-            await asyncio.sleep(1.0 / REQUESTS_PER_SECOND)
+            await asyncio.sleep(1.0 / kind.per_second)
 
 
-async def send(daemon, identifier, ended, record):
+async def send(kind, daemon, identifier, ended, record):
     """Send one request over a new connection and note how it ends."""
     headers = (
         ("Host", HOST),
         ("X-Request-Id", identifier),
-        ("X-Deadline-Ms", str(int(DEADLINE * 1000))),
+        ("X-Deadline-Ms", str(int(kind.deadline * 1000))),
     )
-    data = wire.build_request("GET", "/status/1", headers)
+    data = wire.build_request(kind.method, f"/{kind.service}/1", headers)
     sent = record.seconds
     record.write("send", request=identifier)
     try:
-        status = (await deployment.ask(daemon.outbound, data, DEADLINE)).status
+        status = (await deployment.ask(daemon.outbound, data, kind.deadline)).status
     except (OSError, EOFError, TimeoutError) as error:
         status = 0
         record.write("no-answer", request=identifier, error=type(error).__name__)
     else:
         record.write("answer", request=identifier, status=status)
-    ended.append(Sent(identifier, daemon, sent, record.seconds, status))
+    ended.append(Sent(identifier, kind, daemon, sent, record.seconds, status))
 
 
 if __name__ == "__main__":
