--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -239,6 +239,10 @@
         """Send no more heartbeats."""
         self._heartbeats.cancel()
 
+    def begin_again(self, born):
+        """Forget everything, as a process that starts again under the same id."""
+        self.state, self.born, self._sequence = "ready", born, 0
+
     async def exit(self):
         """End the process: close the listener and all connections."""
         self.end_heartbeats()
