--- a/review/3/play.py
+++ b/review/3/play.py
@@ -56,11 +56,11 @@
 KINDS = {kind.service: kind for kind in (STATUS, ORDER)}
 # Service and zone of each machine.
 MACHINES = (
-    ("tracking", "ashanti-a"),
-    ("tracking", "ashanti-a"),
-    ("tracking", "ashanti-b"),
-    ("orders", "ashanti-b"),
-    ("orders", "ashanti-b"),
+    ("tracking", "zone-a"),
+    ("tracking", "zone-a"),
+    ("tracking", "zone-b"),
+    ("orders", "zone-b"),
+    ("orders", "zone-b"),
 )
 CONFIGURATION = {
     "version": "r7",
--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -28,7 +28,7 @@
 self_node.serves=sidecar
 self_node.ip={ip}
 self_node.zone={zone}
-self_node.region=pnw-west
+self_node.region=region-1
 self_node.bootstrap=true
 self_node.limits.memory_mb=300
 self_node.limits.max_fds=4100
@@ -40,8 +40,8 @@
 network.listen.control={control}
 network.internal_ports={internal},{internal}
 network.seeds=
-network.zones.olympia-a=pnw-west
-network.zones.olympia-b=pnw-west
+network.zones.zone-a=region-1
+network.zones.zone-b=region-1
 platform.discovery=static
 platform.entry=static
 platform.heartbeat=1500ms
@@ -118,6 +118,7 @@
         self._record = deployment.record
         self._process = None
         self.name = name
+        self.zone = zone
         self.outbound = (ip, ports.outbound)
         self.ready = (ip, ports.ready)
         self.control = (ip, ports.control)
@@ -257,7 +258,7 @@
         body = {
             "service": self.service,
             "address": self.address,
-            "zone": "olympia-a",
+            "zone": self.daemon.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
@@ -396,7 +397,7 @@
         self.machines = []
         self.runs = []
 
-    async def add(self, endpoint, zone="olympia-a"):
+    async def add(self, endpoint, zone="zone-a"):
         """Start the endpoint and the daemon of one more machine; return it."""
         number = len(self.machines) + 1
         ip = f"127.0.1.{number}"
