--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -456,7 +456,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         held = asyncio.run(asyncio.wait_for(_play(play, record, has_trouble), 115.0))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write("not-played", error=repr(error))
         print(f"the case could not run: {error!r}")
         sys.exit(2)
@@ -464,6 +464,9 @@
 
 
 async def _play(play, record, has_trouble):
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    # The daemons have to be ended also if this script is told to stop.
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(folder, record)
         deployment.store_address = await deployment.store.start("127.0.1.100")
