Log each send of non-idempotent work that is turned down or repeated

Now the daemon beside the backend server logs, for non-idempotent work that was not run or that is sent again, the connection, how many requests it carried and what the answer said (exchanged); dropped answers with the identifier that they carry (dropped, for all work); a caller logs calls that it sends again after a lost connection (resent). Lines about non-idempotent work have rate limits of their own, so that refusals of other work don't crowd them out. Metrics count connections opened, answers dropped and data that nobody awaited. No decision changes.

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -44,6 +44,7 @@
                 judge,
                 lambda request, response: True,
                 lambda response: self.notice,
+                lambda headers: http.find_header(headers, "x-request-id"),
             ),
             repeats.RepeatBudget(
                 repeats.RepeatLimits(0.2, 3.0, 10.0),
--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -194,6 +194,21 @@
         self.assertEqual([event.state for event in logged], ["lost", "regained"])
         self.assertEqual([event.calls for event in logged], [1, 1])
 
+    async def test_call_of_a_payout_that_is_sent_again_is_logged(self):
+        written = unittest.mock.Mock(lost=0)
+        events.install(written)
+        self.addCleanup(events.install, events.NullLog())
+        self.hold.clear()
+        request = build_request(1)._replace(repeatable=False)
+        call = asyncio.create_task(self.peer.call(request))
+        await self.wait_until(lambda: self.ran)
+        self.abort_sessions()
+        self.hold.set()
+        await call
+        logged = [c.args[1] for c in written.sample.call_args_list]
+        (resent,) = [event for event in logged if hasattr(event, "endpoint")]
+        self.assertEqual((resent.attempt, resent.endpoint), ("a1", self.peer.address))
+
     async def test_answer_lost_with_its_connection_is_sent_again(self):
         self.hold.clear()
         call = asyncio.create_task(self.peer.call(build_request(1)))
--- a/test/test_events.py
+++ b/test/test_events.py
@@ -32,6 +32,14 @@
         self.log.sample("refused", events.Message(""))
         self.assertEqual(self.read()[0]["left_out"], 1000 - events.BURST_LINES)
 
+    def test_each_group_of_requests_has_limits_of_its_own(self):
+        """Guards against losing the few lines of one group among those of another."""
+        for _ in range(1000):
+            self.log.sample("answered", events.Message(""))
+        self.read()
+        self.log.sample("answered", events.Message("payout"), "non-idempotent")
+        self.assertEqual([line["text"] for line in self.read()], ["payout"])
+
     def test_stalled_reader_does_not_block_writes(self):
         """The reader of the log stalls, and a blocking write would stop all calls.
 
--- /dev/null
+++ b/whinwinch/backends/exchanges.py
@@ -0,0 +1,78 @@
+"""Trace of one attempt that is sent to the backend server, for the log.
+
+An endpoint may get the same request more than once. Which connection carried it each
+time, and which answer was taken for its own, shows whether it was sent again in error.
+"""
+
+import asyncio
+
+from .. import decisions
+from ..http1.client import Send
+from ..messages import Outcome
+
+
+class Exchange:
+    """One attempt on its way to the backend server.
+
+    Args:
+        request: The `messages.Request`.
+        identifier: Identifier that the caller gave the request.
+        backend: Identifier of the backend server.
+    """
+
+    def __init__(self, request, identifier, backend):
+        self._loop = asyncio.get_running_loop()
+        self._request = request
+        self._identifier = identifier
+        self._backend = backend
+        self._started = self._loop.time()
+        self._send = Send(0, 0)
+
+    def record_send(self, send):
+        """Record the `http1.client.Send` of the attempt."""
+        self._send = send
+
+    def log_dropped(self, status, answered):
+        """Log that an answer to another request was dropped.
+
+        Args:
+            status: HTTP status of the answer.
+            answered: Identifier of the request that it answers, "" if it has none.
+        """
+        request = self._request
+        decisions.log_decision(
+            decisions.Dropped(
+                request.root,
+                request.attempt,
+                self._identifier,
+                self._send.connection,
+                status,
+                answered,
+            ),
+            request.repeatable,
+        )
+
+    def log_answer(self, answer):
+        """Log the `messages.Answer` if non-idempotent work may run more than once."""
+        request = self._request
+        if request.repeatable:
+            return
+        if answer.outcome is Outcome.COMPLETED and not request.again:
+            return
+        decisions.log_decision(
+            decisions.Exchanged(
+                request.root,
+                request.attempt,
+                self._identifier,
+                request.service,
+                self._backend,
+                self._send.connection,
+                self._send.use,
+                request.again,
+                answer.outcome.value,
+                answer.reason.value,
+                answer.status,
+                self._loop.time() - self._started,
+            ),
+            request.repeatable,
+        )
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -18,7 +18,7 @@
 from .. import background, callgraph, decisions, events, gate, namedlimits
 from ..http1 import client
 from ..messages import Outcome, Reason, Refusal, build_failure
-from . import crashes, slots
+from . import crashes, exchanges, slots
 
 # Seconds after the deadline that an answer is still accepted. The backend server
 # enforces the deadline itself, and its answer states whether the request ran; a
@@ -96,12 +96,15 @@
         is_answer_to: Returns whether a `http1.messages.HttpResponse` is the answer to
             a request.
         read_notice: Returns the `Notice` of a `http1.messages.HttpResponse`.
+        find_identifier: Returns the identifier of a request in the headers of the
+            request or of its answer, "" if there is none.
     """
 
     format_request: Callable
     parse_answer: Callable
     is_answer_to: Callable
     read_notice: Callable
+    find_identifier: Callable
 
 
 class Guard:
@@ -154,6 +157,8 @@
         self.is_stopping = False
         self.running = 0
         self.refused = collections.Counter()
+        # Answers that were dropped because they belong to another request.
+        self.dropped_answers = 0
 
     def install(self, backend):
         """Set the backend server to forward to, or None.
@@ -182,6 +187,11 @@
         """Return the `messages.Load` of the backend server as the gate observes it."""
         return self._slots.load(request)
 
+    @property
+    def connection_counts(self):
+        """The `http1.client.PoolCounts` of the connections to the backend server."""
+        return self._pool.counts
+
     def find_available_share(self):
         """Return the share of the slots that a named limit leaves in use, up to 1."""
         return self._slots.find_available_share()
@@ -335,14 +345,29 @@
         reason = self._find_refusal_reason(request.service)
         if reason is not None or remaining <= 0.0:
             return _build_not_run(request, reason or Reason.DEADLINE)
+        identifier = self._dialect.find_identifier(request.headers)
+        exchange = exchanges.Exchange(request, identifier, backend.identity)
+        answer = await self._exchange(request, remaining, backend, exchange)
+        exchange.log_answer(answer)
+        return answer
+
+    async def _exchange(self, request, remaining, backend, exchange):
+        """Send the attempt to a backend server and return its answer.
+
+        Args:
+            request: The attempt, a `messages.Request`.
+            remaining: Seconds until its deadline.
+            backend: The `Backend`.
+            exchange: The `exchanges.Exchange` of the attempt.
+        """
         data = self._dialect.format_request(request, remaining, backend.identity)
         try:
             response = await self._pool.exchange(
                 data,
                 request.deadline + ANSWER_GRACE,
                 request.method == "HEAD",
-                functools.partial(self._dialect.is_answer_to, request),
-                functools.partial(self._crash_detector.start, request),
+                functools.partial(self._accept_answer, request, exchange),
+                functools.partial(self._begin_send, request, exchange),
             )
         except client.NotSentError as error:
             logging.info("failed to reach the backend server: %s", error)
@@ -369,6 +394,20 @@
             self._crash_history.record_answer(request)
         return answer
 
+    def _begin_send(self, request, exchange, send):
+        """Record that an attempt is being written to a connection."""
+        exchange.record_send(send)
+        self._crash_detector.start(request)
+
+    def _accept_answer(self, request, exchange, response):
+        """Return whether a response is the answer to an attempt; log any other."""
+        if self._dialect.is_answer_to(request, response):
+            return True
+        self.dropped_answers += 1
+        answered = self._dialect.find_identifier(response.headers)
+        exchange.log_dropped(response.status, answered)
+        return False
+
     async def _has_crashed(self, backend):
         """Return whether a backend server that didn't leave has crashed."""
         if self._crash_detector.has_crashed(backend):
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from .. import events
+from .. import decisions, events
 from ..messages import Outcome, Reason, build_failure
 from ..subsets import Reachability
 from . import frames, traffic
@@ -64,10 +64,17 @@
 
 
 class PendingCall(NamedTuple):
-    """A call without an answer so far: the attempt and the future of its answer."""
+    """A call without an answer so far.
+
+    Attributes:
+        request: The attempt, a `messages.Request`.
+        future: Future of its `messages.Answer`.
+        started: Time of the loop's clock at which the call was first sent.
+    """
 
     request: object
     future: asyncio.Future
+    started: float
 
 
 class Link(asyncio.Protocol):
@@ -173,7 +180,7 @@
                 return build_failure(request, Outcome.NOT_RUN, Reason.NOT_SENT)
         number = next(self._numbers)
         future = self._loop.create_future()
-        self._pending[number] = PendingCall(request, future)
+        self._pending[number] = PendingCall(request, future, self._loop.time())
         expiry = request.deadline + ANSWER_TRANSIT_SECONDS
         timer = self._loop.call_at(expiry, self._expire, number)
         self._link.send(frames.Call(number, request))
@@ -342,6 +349,8 @@
             seconds = self._loop.time() - self._lost_time
             self._log("regained", calls=len(self._pending), seconds=seconds)
         for number, pending in sorted(self._pending.items()):
+            seconds = self._loop.time() - pending.started
+            decisions.log_resend(pending.request, self.address, seconds)
             self._link.send(frames.Call(number, pending.request))
 
     def _log(self, state, problem="", **more):
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -6,6 +6,10 @@
 
 from . import events
 
+# Group of the lines about non-idempotent work. It has limits of its own: without them
+# the many lines about other work would crowd out those that show whether it ran twice.
+NON_IDEMPOTENT_GROUP = "non-idempotent"
+
 
 class Placed(NamedTuple):
     """A request was sent to an endpoint."""
@@ -102,9 +106,74 @@
     verdict: str
 
 
-def log_decision(decision):
-    """Log a decision as one line: its kind, followed by its fields."""
-    events.sample(type(decision).__name__.lower(), decision)
+class Exchanged(NamedTuple):
+    """Non-idempotent work was sent to the backend server and turned down or repeated.
+
+    Attributes:
+        request: Identifier that the caller gave the request.
+        backend: Identifier of the backend server.
+        connection: Number of the connection, 0 if none could be opened.
+        use: Number of requests that the connection has carried, this one included.
+        again: Whether an earlier attempt of the request reached a backend server.
+        seconds: Seconds until the answer.
+    """
+
+    root: str
+    attempt: str
+    request: str
+    service: str
+    backend: str
+    connection: int
+    use: int
+    again: bool
+    outcome: str
+    reason: str
+    status: int
+    seconds: float
+
+
+class Dropped(NamedTuple):
+    """An answer of the backend server was dropped: it is not the awaited one.
+
+    Attributes:
+        request: Identifier that the caller gave the pending request.
+        connection: Number of the connection.
+        status: HTTP status of the dropped answer.
+        answered: Identifier of the request that it answers, "" if it has none.
+    """
+
+    root: str
+    attempt: str
+    request: str
+    connection: int
+    status: int
+    answered: str
+
+
+class Resent(NamedTuple):
+    """A call of non-idempotent work was sent again after its connection was lost.
+
+    Attributes:
+        endpoint: Address of the called daemon.
+        seconds: Seconds since the call was first sent.
+    """
+
+    root: str
+    attempt: str
+    service: str
+    endpoint: str
+    seconds: float
+
+
+def log_decision(decision, is_repeatable=True):
+    """Log a decision as one line: its kind, followed by its fields.
+
+    Args:
+        decision: `NamedTuple` with the fields.
+        is_repeatable: Whether the request may be repeated after an unknown outcome.
+    """
+    group = "" if is_repeatable else NON_IDEMPOTENT_GROUP
+    events.sample(type(decision).__name__.lower(), decision, group=group)
     if logging.get_verbosity() >= logging.INFO:
         logging.info("%s", format_decision(decision))
 
@@ -129,7 +198,8 @@
             reason.value,
             retry_after,
             at,
-        )
+        ),
+        request.repeatable,
     )
 
 
@@ -206,7 +276,24 @@
             time_left,
             again,
             ground,
-        )
+        ),
+        attempt.repeatable,
+    )
+
+
+def log_resend(request, endpoint, seconds):
+    """Log that a call is sent again, if its work must not run twice.
+
+    Args:
+        request: The `messages.Request`.
+        endpoint: Address of the called daemon.
+        seconds: Seconds since the call was first sent.
+    """
+    if request.repeatable:
+        return
+    log_decision(
+        Resent(request.root, request.attempt, request.service, endpoint, seconds),
+        request.repeatable,
     )
 
 
--- a/whinwinch/events.py
+++ b/whinwinch/events.py
@@ -70,12 +70,18 @@
         """
         self._write_line(kind, event._asdict())
 
-    def sample(self, kind, event):
-        """Write an event of a single request, within the rate limit of its kind."""
+    def sample(self, kind, event, group=""):
+        """Write an event of a single request, within the rate limit of its kind.
+
+        Args:
+            kind: Kind of event, one word.
+            event: `NamedTuple` with the fields of the event.
+            group: Group of the request; the kind has a limit for each group.
+        """
         now = self._clock()
-        limit = self._limits.get(kind)
+        limit = self._limits.get((kind, group))
         if limit is None:
-            limit = self._limits[kind] = RateLimit(now)
+            limit = self._limits[kind, group] = RateLimit(now)
         if not limit.try_spend(now):
             return
         fields = event._asdict()
@@ -112,7 +118,7 @@
     def write(self, kind, event):
         """Drop an event."""
 
-    def sample(self, kind, event):
+    def sample(self, kind, event, group=""):
         """Drop an event."""
 
 
@@ -156,6 +162,6 @@
     LogHolder.log.write(kind, event)
 
 
-def sample(kind, event):
-    """Write an event of a single request, within the rate limit of its kind."""
-    LogHolder.log.sample(kind, event)
+def sample(kind, event, group=""):
+    """Write an event of a single request, within the limit of its kind and group."""
+    LogHolder.log.sample(kind, event, group=group)
--- a/whinwinch/gauges.py
+++ b/whinwinch/gauges.py
@@ -38,6 +38,12 @@
         Gauge("configuration_version", instance.table.version),
         Gauge("configuration_age_seconds", instance.find_table_age(now)),
     ]
+    connections = instance.guard.connection_counts
+    gauges += [
+        Gauge("backend_connections_total", connections.opened),
+        Gauge("backend_unexpected_data_total", connections.unexpected),
+        Gauge("backend_answers_dropped_total", instance.guard.dropped_answers),
+    ]
     gauges += [
         Gauge("level", level, (Label("route", name),))
         for name, level in instance.list_levels()
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import collections
+import itertools
 import math
+from typing import NamedTuple
 
 import httptools
 
@@ -34,19 +36,56 @@
     """The connection broke, or the response was invalid, after sending the request."""
 
 
+class Send(NamedTuple):
+    """A request that is being written to a connection.
+
+    Attributes:
+        connection: Number of the connection, unique in this process.
+        use: Number of requests that the connection has carried, this one included.
+    """
+
+    connection: int
+    use: int
+
+
+class PoolCounts(NamedTuple):
+    """Counts of a `Pool` since its creation.
+
+    Attributes:
+        opened: Connections opened.
+        unexpected: Connections on which data arrived while no request was pending.
+    """
+
+    opened: int = 0
+    unexpected: int = 0
+
+
+_CONNECTION_NUMBERS = itertools.count(1)
+
+
 def _accept(response):
     return True
 
 
-def _ignore_send():
+def _ignore_send(send):
     pass
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection to a server, for one request at a time."""
+    """One connection to a server, for one request at a time.
 
-    def __init__(self, loop, max_body_bytes):
+    Args:
+        loop: The event loop.
+        max_body_bytes: Maximum size of a response body in bytes.
+        handle_unexpected: Function called when data arrives while no request is
+            pending.
+    """
+
+    def __init__(self, loop, max_body_bytes, handle_unexpected):
         self._loop = loop
+        self._handle_unexpected = handle_unexpected
+        self._number = next(_CONNECTION_NUMBERS)
+        self._use_count = 0
         self._max_body_bytes = max_body_bytes
         self._transport = None
         self._parser = None
@@ -77,6 +116,8 @@
     def data_received(self, data):
         """Feed the parser; close the connection if no request is pending."""
         if self._waiter is None:
+            if not self._is_unusable:
+                self._handle_unexpected()
             self.close()
             return
         try:
@@ -91,6 +132,11 @@
         """Whether another request may be sent."""
         return self._transport is not None and not self._is_unusable
 
+    def begin_use(self):
+        """Count one more request on this connection and return its `Send`."""
+        self._use_count += 1
+        return Send(self._number, self._use_count)
+
     async def exchange(self, data, is_head, accepts, until):
         """Send the bytes of a request and return the `messages.HttpResponse`.
 
@@ -246,6 +292,7 @@
         self._address = (host, port)
         self._max_body_bytes = max_body_bytes
         self._idle = collections.deque()
+        self.counts = PoolCounts()
 
     async def exchange(
         self, data, until, is_head=False, accepts=_accept, on_send=_ignore_send
@@ -257,7 +304,8 @@
             until: Time of the loop's clock by which the response must be complete.
             is_head: Whether the response has no body, whatever length it states.
             accepts: Function from a response to whether it belongs to the request.
-            on_send: Function called when a connection is open, before sending.
+            on_send: Function called with the `Send` when a connection is open, before
+                sending.
 
         Raises:
             NotSentError: If no connection could be opened.
@@ -265,7 +313,7 @@
             TimeoutError: If it didn't come in time; the request may have run.
         """
         connection = self._pop_usable() or await self._open(until)
-        on_send()
+        on_send(connection.begin_use())
         try:
             return await connection.exchange(data, is_head, accepts, until)
         finally:
@@ -294,9 +342,15 @@
         try:
             async with asyncio.timeout_at(connect_deadline):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._loop, self._max_body_bytes),
+                    lambda: ClientConnection(
+                        self._loop, self._max_body_bytes, self._count_unexpected
+                    ),
                     *self._address,
                 )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {self._address}: {error}") from error
+        self.counts = self.counts._replace(opened=self.counts.opened + 1)
         return connection
+
+    def _count_unexpected(self):
+        self.counts = self.counts._replace(unexpected=self.counts.unexpected + 1)
--- a/whinwinch/metrics.py
+++ b/whinwinch/metrics.py
@@ -28,6 +28,11 @@
     "sent_messages_total": "Messages sent to other daemons, by kind and zone.",
     "refusals_total": "Requests refused before execution, at entry or gatekeeper.",
     "store_calls_total": "Calls to the platform's store by result.",
+    "backend_connections_total": "Connections opened to the local backend server.",
+    "backend_answers_dropped_total": "Answers of the local backend server that were "
+    "dropped because they belong to another request.",
+    "backend_unexpected_data_total": "Connections on which the local backend server "
+    "sent data while no request was pending.",
     "backend": "The local backend server: its service, zone and state; always 1.",
     "slots": "Slots for concurrent requests that the local backend server reports.",
     "set_aside": "Endpoints that this daemon has set aside and only probes.",
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -125,7 +125,7 @@
         headers = (*headers, (WORKSPACE, identity.name))
     return Request(
         attempt=new_identifier(),
-        root=find_header(http.headers, _REQUEST_ID) or new_identifier(),
+        root=find_identifier(http.headers) or new_identifier(),
         service=service,
         call=route.name,
         method=http.method,
@@ -158,13 +158,18 @@
     )
 
 
+def find_identifier(headers):
+    """Return the identifier of a request in its or its answer's headers, or ""."""
+    return find_header(headers, _REQUEST_ID)
+
+
 def is_answer_to(request, response):
     """Return whether an `HttpResponse` answers a request.
 
     A duplicate answer to an earlier request may arrive in place of the expected one.
     """
-    echoed = find_header(response.headers, _REQUEST_ID)
-    return not echoed or echoed == find_header(request.headers, _REQUEST_ID)
+    echoed = find_identifier(response.headers)
+    return not echoed or echoed == find_identifier(request.headers)
 
 
 def parse_backend_answer(request, response):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -99,6 +99,7 @@
                 dialect.parse_backend_answer,
                 dialect.is_answer_to,
                 dialect.read_notice,
+                dialect.find_identifier,
             ),
             instance_settings.repeats,
             instance_settings.quotas,
