--- a/emulator/mesh.py
+++ b/emulator/mesh.py
@@ -65,6 +65,7 @@
         configuration: Configuration as the operator writes it.
         zones: Availability zones.
         repeat_limits: `repeats.RepeatLimits` of all services.
+        build_backend: Function that builds each `backend.Backend`.
     """
 
     def __init__(
@@ -73,11 +74,13 @@
         configuration,
         zones=("a", "b"),
         repeat_limits=REPEAT_LIMITS,
+        build_backend=backend.Backend,
     ):
         self._services = services
         self._configuration = configuration
         self._zones = zones
         self._repeat_limits = repeat_limits
+        self._build_backend = build_backend
         self._tasks = []
         self.store = store.Store()
         self.members = []
@@ -111,7 +114,7 @@
     async def add(self, service, zone):
         """Start an instance and return its `Member`."""
         number = len(self.members)
-        server = backend.Backend(
+        server = self._build_backend(
             f"i-{service.name}-{number}",
             service.name,
             service.slots,
--- a/test/backends/rawservers.py
+++ b/test/backends/rawservers.py
@@ -42,7 +42,7 @@
     def __init__(self, answer):
         self._answer = answer
         self._listener = None
-        self._writers = set()
+        self._tasks = set()
         self.connections = 0
 
     async def listen(self):
@@ -53,24 +53,25 @@
     async def close(self):
         """Close all connections."""
         self._listener.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
-        await asyncio.sleep(0.02)
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
         self.connections += 1
         connection = self.connections
-        self._writers.add(writer)
+        self._tasks.add(asyncio.current_task())
         try:
             while True:
                 head = (await reader.readuntil(HEAD_END)).decode()
                 fields = [line.partition(": ")[::2] for line in head.split("\r\n")]
                 identifier = find_header(fields, "x-request-id")
                 await self._answer(identifier, connection, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # The stream protocol logs a task that ends by being cancelled.
             pass
         finally:
-            self._writers.discard(writer)
+            self._tasks.discard(asyncio.current_task())
             writer.transport.abort()
 
 
