Never send a request over a connection that has turned it down

An endpoint that turns a request down may get it again (tries.py), and the pool took the connection of the refusal, the one used last. Answers carry the identifier of the request, which both sends share, so a late second copy of the refusal passed for the answer of the second send, which was running: the request was sent a third time, or its caller told that it hadn't run.

A copy can only come over the connection of the answer. The guard now remembers on which connections a request was turned down, until it can't come again, and the pool takes another idle one or opens one. If the memory is full, the connection isn't used again.

--- a/whinwinch/backends/exchanges.py
+++ b/whinwinch/backends/exchanges.py
@@ -18,19 +18,23 @@
         request: The `messages.Request`.
         identifier: Identifier that the caller gave the request.
         backend: Identifier of the backend server.
+
+    Attributes:
+        identifier: Identifier that the caller gave the request.
+        send: `http1.client.Send` of the attempt, with number 0 until it is sent.
     """
 
     def __init__(self, request, identifier, backend):
         self._loop = asyncio.get_running_loop()
         self._request = request
-        self._identifier = identifier
+        self.identifier = identifier
         self._backend = backend
         self._started = self._loop.time()
-        self._send = Send(0, 0)
+        self.send = Send(0, 0)
 
     def record_send(self, send):
         """Record the `http1.client.Send` of the attempt."""
-        self._send = send
+        self.send = send
 
     def log_dropped(self, status, answered):
         """Log that an answer to another request was dropped.
@@ -44,8 +48,8 @@
             decisions.Dropped(
                 request.root,
                 request.attempt,
-                self._identifier,
-                self._send.connection,
+                self.identifier,
+                self.send.connection,
                 status,
                 answered,
             ),
@@ -63,11 +67,11 @@
             decisions.Exchanged(
                 request.root,
                 request.attempt,
-                self._identifier,
+                self.identifier,
                 request.service,
                 self._backend,
-                self._send.connection,
-                self._send.use,
+                self.send.connection,
+                self.send.use,
                 request.again,
                 answer.outcome.value,
                 answer.reason.value,
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -18,7 +18,7 @@
 from .. import background, callgraph, decisions, events, gate, namedlimits
 from ..http1 import client
 from ..messages import Outcome, Reason, Refusal, build_failure
-from . import crashes, exchanges, slots
+from . import crashes, exchanges, refusals, slots
 
 # Seconds after the deadline that an answer is still accepted. The backend server
 # enforces the deadline itself, and its answer states whether the request ran; a
@@ -35,6 +35,9 @@
 LIMITED_MAX_WAIT = 0.1
 # Refusals for want of slots.
 FULL_REASONS = frozenset({Reason.LEVEL, Reason.QUEUE, Reason.DEADLINE})
+# Seconds after its deadline that a request may still come again: it was sent on by
+# another daemon, whose clock isn't quite this one's.
+REPEAT_GRACE = 1.0
 # Requests carry no caller here, and their paths identify kinds of request rather
 # than keys, so there is nothing to divide into fair shares.
 NO_FAIRNESS_DIMENSIONS = ()
@@ -141,6 +144,7 @@
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
         self._pool = client.Pool(address.host, address.port, MAX_ANSWER_BYTES)
+        self._refusal_memory = refusals.RefusalMemory()
         self._repeat_budget = budget
         self._find_max_wait = find_max_wait
         self._call_graph = call_graph
@@ -368,6 +372,7 @@
                 request.method == "HEAD",
                 functools.partial(self._accept_answer, request, exchange),
                 functools.partial(self._begin_send, request, exchange),
+                self._refusal_memory.find_connections(exchange.identifier),
             )
         except client.NotSentError as error:
             logging.info("failed to reach the backend server: %s", error)
@@ -387,6 +392,8 @@
         finally:
             self._crash_detector.end(request)
         answer = self._parse_answer(request, response, backend)
+        if answer.outcome is Outcome.NOT_RUN:
+            self._remember_refusal(request, exchange)
         if answer.reason is not Reason.WRONG_BACKEND:
             self._apply_notice(backend, self._dialect.read_notice(response))
         if answer.outcome is Outcome.COMPLETED:
@@ -394,6 +401,17 @@
             self._crash_history.record_answer(request)
         return answer
 
+    def _remember_refusal(self, request, exchange):
+        """Keep a request that was turned down from this connection from now on."""
+        is_remembered = self._refusal_memory.record(
+            exchange.identifier,
+            exchange.send.connection,
+            request.deadline + REPEAT_GRACE,
+            self._loop.time(),
+        )
+        if not is_remembered:
+            self._pool.discard(exchange.send.connection)
+
     def _begin_send(self, request, exchange, send):
         """Record that an attempt is being written to a connection."""
         exchange.record_send(send)
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -84,7 +84,7 @@
     def __init__(self, loop, max_body_bytes, handle_unexpected):
         self._loop = loop
         self._handle_unexpected = handle_unexpected
-        self._number = next(_CONNECTION_NUMBERS)
+        self.number = next(_CONNECTION_NUMBERS)
         self._use_count = 0
         self._max_body_bytes = max_body_bytes
         self._transport = None
@@ -135,7 +135,7 @@
     def begin_use(self):
         """Count one more request on this connection and return its `Send`."""
         self._use_count += 1
-        return Send(self._number, self._use_count)
+        return Send(self.number, self._use_count)
 
     async def exchange(self, data, is_head, accepts, until):
         """Send the bytes of a request and return the `messages.HttpResponse`.
@@ -295,7 +295,13 @@
         self.counts = PoolCounts()
 
     async def exchange(
-        self, data, until, is_head=False, accepts=_accept, on_send=_ignore_send
+        self,
+        data,
+        until,
+        is_head=False,
+        accepts=_accept,
+        on_send=_ignore_send,
+        avoided=frozenset(),
     ):
         """Send the bytes of a request and return the `messages.HttpResponse`.
 
@@ -306,13 +312,14 @@
             accepts: Function from a response to whether it belongs to the request.
             on_send: Function called with the `Send` when a connection is open, before
                 sending.
+            avoided: Numbers of the connections that the request isn't sent over.
 
         Raises:
             NotSentError: If no connection could be opened.
             BrokenError: If no complete response came; the request may have run.
             TimeoutError: If it didn't come in time; the request may have run.
         """
-        connection = self._pop_usable() or await self._open(until)
+        connection = self._pop_usable(avoided) or await self._open(until)
         on_send(connection.begin_use())
         try:
             return await connection.exchange(data, is_head, accepts, until)
@@ -327,15 +334,32 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _pop_usable(self):
-        """Return an idle connection within its reuse time, None if there is none."""
+    def discard(self, number):
+        """Close a connection if it is idle, so that it isn't used again."""
+        for connection in tuple(self._idle):
+            if connection.number == number:
+                self._idle.remove(connection)
+                connection.close()
+
+    def _pop_usable(self, avoided):
+        """Return an idle connection within its reuse time, None if there is none.
+
+        Args:
+            avoided: Numbers of the connections that stay idle.
+        """
         now = self._loop.time()
-        while self._idle:
+        passed_over = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            if connection.is_open and now < connection.idle_until:
-                return connection
-            connection.close()
-        return None
+            if not connection.is_open or now >= connection.idle_until:
+                connection.close()
+            elif connection.number in avoided:
+                passed_over.append(connection)
+            else:
+                found = connection
+        self._idle.extend(reversed(passed_over))
+        return found
 
     async def _open(self, until):
         connect_deadline = min(until, self._loop.time() + CONNECT_TIMEOUT)
