Remember calls of an absent daemon until their deadlines

Three ways, each with a test that failed before:

- A caller is frozen while its connection breaks and the reply is lost.
The called daemon dropped the reply after 4 s and then the caller with all it knew of it; the caller woke, sent the pending call again, and it ran once more.
The record of a caller now lasts until the deadlines of its calls have passed; a call that it no longer knows is answered as of unknown outcome.
- A call that ended in an error left no record, and ran again when it was repeated.
It is now answered as of unknown outcome, at once.
- A connection that was closed unused and opened again began its numbers anew, and the called daemon took the first call for one that it had forgotten: 502 for work that never ran.
All connections of a daemon now share their numbers.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -232,6 +232,60 @@
         await asyncio.sleep(0.02)
         self.assertEqual(self.ran, ["a1"])
 
+    async def test_payout_whose_caller_was_away_for_long_is_not_run_again(self):
+        """Guards against a second run once the called daemon has forgotten its caller.
+
+        The caller is frozen while its connection breaks and the answer is lost.
+        """
+        self.hold.clear()
+        payout = build_request(1)._replace(repeatable=False)
+        call = asyncio.create_task(self.peer.call(payout))
+        await self.wait_until(lambda: self.ran)
+        with (
+            unittest.mock.patch.object(self.peer, "connect"),
+            unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0),
+            unittest.mock.patch.object(exchange, "REPLY_RETENTION_SECONDS", 0.0),
+            unittest.mock.patch.object(exchange, "CALLER_ABSENCE_SECONDS", 0.0),
+        ):
+            self.abort_sessions()
+            self.hold.set()
+            await asyncio.sleep(3 * exchange.CLEANUP_INTERVAL_SECONDS)
+        with unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0):
+            answer = await call
+        self.assertEqual(self.ran, ["a1"])
+        self.assertEqual(answer.reason, Reason.ABANDONED)
+
+    async def test_absent_caller_is_forgotten_after_its_deadlines(self):
+        """Guards against memory that grows with each daemon that ever called."""
+        await self.peer.call(build_request(1, 0.3))
+        with (
+            unittest.mock.patch.object(exchange, "REPLY_RETENTION_SECONDS", 0.0),
+            unittest.mock.patch.object(exchange, "CALLER_ABSENCE_SECONDS", 0.0),
+        ):
+            self.abort_sessions()
+            await self.wait_until(lambda: not self.called._callers)
+
+    async def test_first_call_after_an_unused_connection_was_closed_is_run(self):
+        """Guards against a call that is told as possibly run for its reused number."""
+        await self.peer.call(build_request(1))
+        with unittest.mock.patch.object(exchange, "REPLY_RETENTION_SECONDS", 0.0):
+            await asyncio.sleep(2 * exchange.CLEANUP_INTERVAL_SECONDS)
+        loop = asyncio.get_running_loop()
+        self.peers.drop_unused(loop.time() + 2 * links.UNUSED_TIMEOUT)
+        answer = await self.peers.find(self.peer.address).call(build_request(2))
+        self.assertIs(answer.outcome, Outcome.COMPLETED)
+
+    async def test_call_that_ends_in_an_error_is_not_run_again(self):
+        """Guards against an error behind the run that leaves no record of it."""
+        self.hold = None
+        caller = self.called.get_or_create_caller("caller-9")
+        with self.assertLogs(level="ERROR"):
+            for _ in range(2):
+                self.called.handle_call(caller, frames.Call(1, build_request(1)))
+                await asyncio.sleep(0.02)
+        self.assertEqual(self.ran, ["a1"])
+        self.assertEqual(self.called.running, 0)
+
     async def test_call_cancelled_before_it_starts_is_forgotten(self):
         """Guards against a stop that waits for a call which nobody runs."""
         caller = self.called.get_or_create_caller("d9")
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -60,6 +60,8 @@
         self.done = collections.OrderedDict()
         # Attempts up to this number that have no record any more may have run.
         self.last_forgotten = 0
+        # Time of the loop's clock after which none of its attempts is sent again.
+        self.last_deadline = 0.0
 
 
 class Session(asyncio.Protocol):
@@ -222,6 +224,7 @@
         finished, the reply is sent again.
         """
         number = call.number
+        caller.last_deadline = max(caller.last_deadline, call.request.deadline)
         if number in caller.running:
             return
         done = caller.done.get(number)
@@ -286,6 +289,10 @@
     async def _run(self, caller, call):
         try:
             answer = await self._serve(call.request)
+        except Exception:
+            # Without a record the attempt, which may have run, would run again.
+            logging.exception("serving attempt %s failed", call.request.attempt)
+            answer = self._refuse(call.request)
         finally:
             caller.running.pop(call.number, None)
         data = frames.encode_frame(frames.Reply(call.number, answer))
@@ -318,7 +325,10 @@
             if caller.session is None and now - caller.lost > CALLER_ABSENCE_SECONDS:
                 for number in tuple(caller.running):
                     self.cancel(caller, number)
-                if not caller.done and not caller.running:
+                # A frozen caller may send its calls again up to their deadlines, and
+                # only this record shows that they may have run.
+                is_idle = not caller.done and not caller.running
+                if is_idle and now > caller.last_deadline:
                     del self._callers[daemon]
 
     def _is_expired(self, done, now):
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -133,13 +133,15 @@
         handle_report: Function called with the address and each received message of
             `REPORT_KINDS`.
         sent_traffic: `traffic.Traffic` that counts the messages sent.
+        numbers: Iterator over the numbers of calls, shared by all peers. The called
+            daemon knows calls by their numbers longer than this peer may be kept.
     """
 
-    def __init__(self, address, hello, handle_report, sent_traffic):
+    def __init__(self, address, hello, handle_report, sent_traffic, numbers):
         self._loop = asyncio.get_running_loop()
         self.traffic = sent_traffic
         self._handle_report = handle_report
-        self._numbers = itertools.count(1)
+        self._numbers = numbers
         self._pending = {}
         self._pending_gossip = {}
         self._link = None
@@ -426,6 +428,7 @@
         self._hello = hello
         self._traffic = sent_traffic or traffic.Traffic()
         self._handle_report = handle_report
+        self._numbers = itertools.count(1)
         self._peers = {}
 
     def __len__(self):
@@ -439,7 +442,13 @@
         """Return the `Peer` of an address, creating it on first use."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = Peer(address, self._hello, self._handle_report, self._traffic)
+            peer = Peer(
+                address,
+                self._hello,
+                self._handle_report,
+                self._traffic,
+                self._numbers,
+            )
             self._peers[address] = peer
         return peer
 
