Bound what a backend server's response may bring beside its body

A response may now bring 64 KiB beside its bodies, status line, headers, interim responses, trailers and framing together; a header counts 64 bytes more than its own, as short ones take that much as objects. At most four responses to other requests are passed over, and their bodies aren't kept. What goes beyond is cut off at once: the connection is aborted and the outcome unknown.

--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from . import messages
+from . import bodies, messages
 
 # Seconds until opening a connection fails. On the local instance or within a region it
 # takes a few round trips. A lost packet delays it by a second, by which time another
@@ -26,6 +26,17 @@
 IDLE_TIMEOUT_SHARE = 0.6
 # Seconds for which an idle connection is reused if the server states no idle timeout.
 DEFAULT_IDLE_SECONDS = 5.0
+# Bytes received for one request beside the body of its response: status line, headers,
+# interim responses, trailers. Four times what servers commonly accept as headers.
+MAX_HEAD_BYTES = 64 << 10
+# Bytes counted for each header in addition to its own: a short one takes more memory
+# than that as an object.
+HEADER_COST_BYTES = 64
+# Responses to other requests that may come before the awaited one.
+MAX_DROPPED_RESPONSES = 4
+# Bytes of the bodies that a pool receives at once, beyond the first of each. With the
+# copies that are made of a complete one, they fit into 200 MB.
+MAX_PENDING_BODY_BYTES = 64 << 20
 
 
 class NotSentError(Exception):
@@ -36,6 +47,10 @@
     """The connection broke, or the response was invalid, after sending the request."""
 
 
+class ResponseTooLargeError(Exception):
+    """A server sends more than any response may have."""
+
+
 class Send(NamedTuple):
     """A request that is being written to a connection.
 
@@ -77,12 +92,14 @@
     Args:
         loop: The event loop.
         max_body_bytes: Maximum size of a response body in bytes.
+        body_budget: `bodies.BodyBudget` of all connections of the pool.
         handle_unexpected: Function called when data arrives while no request is
             pending.
     """
 
-    def __init__(self, loop, max_body_bytes, handle_unexpected):
+    def __init__(self, loop, max_body_bytes, body_budget, handle_unexpected):
         self._loop = loop
+        self._body_budget = body_budget
         self._handle_unexpected = handle_unexpected
         self.number = next(_CONNECTION_NUMBERS)
         self._use_count = 0
@@ -94,6 +111,8 @@
         self._is_unusable = False
         self._is_head = False
         self._accepts = _accept
+        # Bytes taken from the budget for the body that is being received.
+        self._taken_bytes = 0
         self._max_idle_seconds = DEFAULT_IDLE_SECONDS
         self._keep_alive_text = ""
         self.idle_until = math.inf
@@ -120,12 +139,17 @@
                 self._handle_unexpected()
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._check_head_size()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._is_unusable = True
-            self._fail(f"invalid response: {error}")
-            self.close()
+            # What a callback raises is the context of the parser's own error.
+            self._fail(f"invalid response: {error.__context__ or error}")
+            self.abort()
+        except ResponseTooLargeError as error:
+            self._fail(str(error))
+            self.abort()
 
     @property
     def is_open(self):
@@ -153,6 +177,9 @@
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
+        self._received_bytes = 0
+        self._received_body_bytes = 0
+        self._dropped_responses = 0
         self._reset()
         self._waiter = self._loop.create_future()
         timer = self._loop.call_at(until, self._expire)
@@ -167,6 +194,8 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._body_budget.give_back(self._taken_bytes)
+            self._taken_bytes = 0
 
     def close(self):
         """Close the connection."""
@@ -195,6 +224,9 @@
         """Add a header; trailers after the body are dropped."""
         if self._in_body:
             return
+        self._head_cost += len(name) + len(value) + HEADER_COST_BYTES
+        if self._head_cost > MAX_HEAD_BYTES:
+            raise ResponseTooLargeError("response headers too large")
         key, text = name.decode("latin-1"), value.decode("latin-1")
         self._headers.append((key, text))
         lowered = key.lower()
@@ -209,6 +241,8 @@
         status = self._parser.get_status_code()
         has_body = status >= 200 and status not in (204, 304)
         self._ends_at_close = has_body and not self._is_framed
+        if status >= 200:
+            self._is_awaited = self._accepts(self._build_response(False))
         if self._is_head and status >= 200:
             # No body follows, whatever length is stated. The parser would wait for
             # one, so the connection isn't used again.
@@ -217,9 +251,17 @@
 
     def on_body(self, body):
         """Add a part of the body."""
-        self._body_size += len(body)
+        size = len(body)
+        self._body_size += size
+        self._received_body_bytes += size
         if self._body_size > self._max_body_bytes:
-            raise ValueError("response body too large")
+            raise ResponseTooLargeError("response body too large")
+        if not self._is_awaited:
+            return
+        if self._body_size > bodies.UNCOUNTED_BYTES:
+            if not self._body_budget.try_take(size):
+                raise ResponseTooLargeError("too many large response bodies at once")
+            self._taken_bytes += size
         self._body.append(body)
 
     def on_message_complete(self):
@@ -233,20 +275,36 @@
             return
         if not keep_alive:
             self._is_unusable = True
-        response = messages.HttpResponse(
+        if not self._is_awaited:
+            # A late duplicate of the response to an earlier request. The response to
+            # the present one is still to come, but the connection isn't reused.
+            self._is_unusable = True
+            self._dropped_responses += 1
+            if self._dropped_responses > MAX_DROPPED_RESPONSES:
+                raise ResponseTooLargeError("too many responses to other requests")
+            return
+        self.idle_until = self._loop.time() + self._max_idle_seconds
+        self._waiter.set_result(self._build_response(keep_alive))
+
+    def _build_response(self, keep_alive):
+        """Return what has been received of the present response."""
+        return messages.HttpResponse(
             self._parser.get_status_code(),
             self._phrase.decode("latin-1"),
             tuple(self._headers),
             b"".join(self._body),
             keep_alive,
         )
-        if not self._accepts(response):
-            # A late duplicate of the response to an earlier request. The response to
-            # the present one is still to come, but the connection isn't reused.
-            self._is_unusable = True
-            return
-        self.idle_until = self._loop.time() + self._max_idle_seconds
-        self._waiter.set_result(response)
+
+    def _check_head_size(self):
+        """Limit what is received beside bodies, which may be of chunks of one byte.
+
+        Raises:
+            ResponseTooLargeError: If it is too much.
+        """
+        beside_bodies = self._received_bytes - self._received_body_bytes
+        if beside_bodies > MAX_HEAD_BYTES + self._received_body_bytes:
+            raise ResponseTooLargeError("too many bytes beside the response body")
 
     def _expire(self):
         """Fail the request, whose response takes too long, and drop the connection."""
@@ -273,6 +331,8 @@
         self._headers = []
         self._body = []
         self._body_size = 0
+        self._head_cost = 0
+        self._is_awaited = True
         self._is_framed = False
         self._in_body = False
         self._ends_at_close = False
@@ -291,6 +351,7 @@
         self._loop = asyncio.get_running_loop()
         self._address = (host, port)
         self._max_body_bytes = max_body_bytes
+        self._body_budget = bodies.BodyBudget(MAX_PENDING_BODY_BYTES)
         self._idle = collections.deque()
         self.counts = PoolCounts()
 
@@ -367,7 +428,10 @@
             async with asyncio.timeout_at(connect_deadline):
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(
-                        self._loop, self._max_body_bytes, self._count_unexpected
+                        self._loop,
+                        self._max_body_bytes,
+                        self._body_budget,
+                        self._count_unexpected,
                     ),
                     *self._address,
                 )
