Take no answer without an identifier for a request's own

Hypothesis C of docs/incidents/twice.md, by reading and three tests that failed before: an answer without X-Request-Id passed for any request's, so a stray one that says "not run" was told to the caller of a request that runs. The users' pages say that endpoints echo the identifier. Such an answer now ends the request as of unknown outcome, at once, and its connection; the connection of a request that has no identifier itself isn't used again, as a late copy of its answer could not be told from the next one's. The emulated backend server echoes it in its 421 as the pages say.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -267,9 +267,8 @@
         expected = find_header(http.headers, "x-expected-instance")
         request = find_header(http.headers, "x-request-id")
         if expected and expected != self.identity:
-            return HttpResponse(
-                421, "Misdirected Request", (("X-Instance-Id", self.identity),)
-            )
+            headers = (("X-Instance-Id", self.identity), ("X-Request-Id", request))
+            return HttpResponse(421, "Misdirected Request", headers)
         self.arrivals.append(asyncio.get_running_loop().time())
         if not request:
             return self._refuse(request, 400)
--- a/test/backends/test_repeated_sends.py
+++ b/test/backends/test_repeated_sends.py
@@ -59,6 +59,29 @@
             await self.serve("a2", again=True)
         self.assertEqual(self.arrivals, [1, 2])
 
+    async def test_refusal_without_an_identifier_proves_nothing(self):
+        """Guards against telling a request as not run by an answer to anybody's."""
+        self.copies[1] = rawservers.build_refusal("")
+        self.refused_arrivals = 0
+        started = asyncio.get_running_loop().time()
+        answer = await self.serve("a1")
+        self.assertEqual(
+            (answer.outcome, answer.reason), (Outcome.UNKNOWN, Reason.BROKEN)
+        )
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.0)
+        self.assertIs((await self.serve("a2", "q2")).outcome, Outcome.COMPLETED)
+        self.assertNotEqual(self.arrivals[0], self.arrivals[1])
+
+    async def test_connection_of_a_request_without_an_identifier_is_not_used_again(
+        self,
+    ):
+        """Guards against late copies of answers that tell no request."""
+        self.refused_arrivals = 1
+        refused = await self.serve("a1", "")
+        self.assertIs(refused.reason, Reason.SHED)
+        self.assertIs((await self.serve("a2", "q2")).outcome, Outcome.COMPLETED)
+        self.assertEqual(self.arrivals, [1, 2])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -138,6 +138,7 @@
         self.assertFalse(dialect.is_answer_to(build(), response))
         response = HttpResponse(200, "OK", (("X-Request-Id", "q1"),))
         self.assertTrue(dialect.is_answer_to(build(), response))
+        self.assertFalse(dialect.is_answer_to(build(), HttpResponse(200, "OK")))
 
     def test_refusal_has_a_retry_delay(self):
         answer = build_failure(build(), Outcome.NOT_RUN, Reason.LEVEL, retry_after=0.25)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -45,6 +45,10 @@
 MAX_ANSWER_BYTES = 16 << 20
 
 
+class UnidentifiedAnswerError(Exception):
+    """An answer doesn't tell which request it answers."""
+
+
 class Backend(NamedTuple):
     """The local backend server, as it announced itself.
 
@@ -391,6 +395,9 @@
             return _build_unknown(request, Reason.DEADLINE, 504)
         finally:
             self._crash_detector.end(request)
+            if not exchange.identifier:
+                # A late copy of its answer could not be told from the next request's.
+                self._pool.discard(exchange.send.connection)
         answer = self._parse_answer(request, response, backend)
         if answer.outcome is Outcome.NOT_RUN:
             self._remember_refusal(request, exchange)
@@ -418,12 +425,19 @@
         self._crash_detector.start(request)
 
     def _accept_answer(self, request, exchange, response):
-        """Return whether a response is the answer to an attempt; log any other."""
+        """Return whether a response is the answer to an attempt; log any other.
+
+        Raises:
+            UnidentifiedAnswerError: If it doesn't tell which request it answers. Taken
+                for the answer, it might say "not run" of a request that runs.
+        """
         if self._dialect.is_answer_to(request, response):
             return True
         self.dropped_answers += 1
         answered = self._dialect.find_identifier(response.headers)
         exchange.log_dropped(response.status, answered)
+        if not answered:
+            raise UnidentifiedAnswerError("answer without the identifier of a request")
         return False
 
     async def _has_crashed(self, backend):
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -168,8 +168,7 @@
 
     A duplicate answer to an earlier request may arrive in place of the expected one.
     """
-    echoed = find_identifier(response.headers)
-    return not echoed or echoed == find_identifier(request.headers)
+    return find_identifier(response.headers) == find_identifier(request.headers)
 
 
 def parse_backend_answer(request, response):
