Bound a request's head and trailers before they are complete

The same class as responses without end, found by looking for it elsewhere: the limit on a request's headers was checked when a header was complete, so one header, a trailer or a chunk's extension without end filled the memory, and the timeout of the headers never came as long as bytes did. What is received of a request beside its body is now counted as it comes. Bodies are gathered in one buffer, on both sides: a list of chunks of one byte took forty times their size.

--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 server."""
 
 import asyncio
+import contextlib
 import unittest
 
 from whinwinch.http1 import messages, server
@@ -127,6 +128,27 @@
         self.assertTrue((await self.exchange(body)).startswith(b"HTTP/1.1 413"))
         self.assertEqual(self.seen, [])
 
+    async def test_header_and_trailers_without_end_are_rejected(self):
+        """Guards against a caller that sends one header until the memory is full."""
+        chunked = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for first, piece in (
+            (b"GET / HTTP/1.1\r\nHost: h\r\nX: ", b"x" * 100),
+            (b"GET /", b"x" * 100),
+            (chunked + b"0\r\n", b"X: y\r\n" * 20),
+            (chunked + b"1;", b"x" * 100),
+        ):
+            reader, writer = await self.connect()
+            writer.write(first)
+            with contextlib.suppress(ConnectionError):
+                for _ in range(20):
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.002)
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 431"), (first, answer))
+        self.assertEqual(self.seen, [])
+
     async def test_incomplete_headers_time_out(self):
         """A caller sends incomplete headers and then keeps its connection open."""
         answer = await self.exchange(b"GET / HTTP/1.1\r\nHost:")
--- a/whinwinch/http1/client.py
+++ b/whinwinch/http1/client.py
@@ -29,6 +29,9 @@
 # Bytes received for one request beside the body of its response: status line, headers,
 # interim responses, trailers. Four times what servers commonly accept as headers.
 MAX_HEAD_BYTES = 64 << 10
+# Bytes of framing that may come with each byte of a body. Long bodies in chunks of less
+# than five bytes would take the daemon's time from its other requests.
+MAX_FRAMING_BYTES = 1
 # Bytes counted for each header in addition to its own: a short one takes more memory
 # than that as an object.
 HEADER_COST_BYTES = 64
@@ -262,7 +265,7 @@
             if not self._body_budget.try_take(size):
                 raise ResponseTooLargeError("too many large response bodies at once")
             self._taken_bytes += size
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self):
         """Return the complete response to the waiting caller; drop interim ones."""
@@ -292,18 +295,19 @@
             self._parser.get_status_code(),
             self._phrase.decode("latin-1"),
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             keep_alive,
         )
 
     def _check_head_size(self):
-        """Limit what is received beside bodies, which may be of chunks of one byte.
+        """Limit what is received beside bodies and their framing.
 
         Raises:
             ResponseTooLargeError: If it is too much.
         """
+        framing = MAX_FRAMING_BYTES * self._received_body_bytes
         beside_bodies = self._received_bytes - self._received_body_bytes
-        if beside_bodies > MAX_HEAD_BYTES + self._received_body_bytes:
+        if beside_bodies > MAX_HEAD_BYTES + framing:
             raise ResponseTooLargeError("too many bytes beside the response body")
 
     def _expire(self):
@@ -329,7 +333,7 @@
     def _reset(self):
         self._phrase = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_size = 0
         self._head_cost = 0
         self._is_awaited = True
--- a/whinwinch/http1/server.py
+++ b/whinwinch/http1/server.py
@@ -22,6 +22,12 @@
 # Maximum number of pending requests of one connection. Reading stops there, so that a
 # caller can't fill the memory with pipelined requests.
 MAX_PIPELINED = 16
+# Bytes of framing that may come with each byte of a body: those of a chunk of one byte.
+MAX_FRAMING_BYTES = 5
+
+
+class RequestTooLargeError(Exception):
+    """A caller sends more than the limits allow."""
 
 
 class Limits(NamedTuple):
@@ -103,8 +109,10 @@
         if self._is_closing:
             return
         self._last_read_time = self._server.loop.time()
+        self._has_begun = False
         try:
             self._parser.feed_data(data)
+            self._check_received_size(len(data))
         except httptools.HttpParserUpgrade:
             # An upgrade is declined by answering the request as if it had none. The
             # following bytes may be of another protocol, so reading stops.
@@ -114,6 +122,8 @@
                 self._in_request = False
         except httptools.HttpParserError:
             self._reject_input(self._error_status or 400)
+        except RequestTooLargeError:
+            self._reject_input(self._error_status)
         self._apply_backpressure()
 
     def eof_received(self):
@@ -140,6 +150,7 @@
     def on_message_begin(self):
         """Begin a request."""
         self._reset()
+        self._has_begun = True
 
     def on_url(self, url):
         """Add a part of the target."""
@@ -165,8 +176,8 @@
         self._body_size += len(body)
         if self._body_size > self._server.limits.body_bytes:
             self._error_status = 413
-            raise ValueError("request body too large")
-        self._body.append(body)
+            raise RequestTooLargeError("request body too large")
+        self._body += body
 
     def on_message_complete(self):
         """Start a task that serves the complete request."""
@@ -175,7 +186,7 @@
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             keep_alive,
         )
         pending = PendingResponse(keep_alive, request.method == "HEAD")
@@ -262,14 +273,37 @@
         self._header_size += size
         if self._header_size > self._server.limits.header_bytes:
             self._error_status = 431
-            raise ValueError("request headers too large")
+            raise RequestTooLargeError("request headers too large")
+
+    def _check_received_size(self, size):
+        """Limit what is received of a request beside its body.
+
+        A single header, a trailer or a chunk's extension without end never reaches a
+        callback of the parser.
+
+        Args:
+            size: Bytes just received. Those in which the request begins aren't
+                counted, as earlier requests may end in them.
+
+        Raises:
+            RequestTooLargeError: If it is too much.
+        """
+        if not self._in_request or self._has_begun:
+            return
+        self._received_bytes += size
+        allowed = self._server.limits.header_bytes
+        allowed += MAX_FRAMING_BYTES * self._body_size
+        if self._received_bytes - self._body_size > allowed:
+            self._error_status = 431
+            raise RequestTooLargeError("request headers or trailers too large")
 
     def _reset(self):
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_size = 0
         self._header_size = 0
+        self._received_bytes = 0
         self._in_request = False
         self._in_body = False
         self._error_status = 0
