Move the connections to the backend server out of the guard

Which connection an attempt takes, and which answer is its own, now stand in one module, backends/connections.py, with the reason why both hold together; the guard keeps admission.

--- a/test/backends/test_repeated_sends.py
+++ b/test/backends/test_repeated_sends.py
@@ -54,7 +54,7 @@
     async def test_connection_is_closed_when_its_refusal_cannot_be_remembered(self):
         """Guards against a flood of refusals that empties the memory of them."""
         full = refusals.RefusalMemory(max_requests=0)
-        with unittest.mock.patch.object(self.guard, "_refusal_memory", full):
+        with unittest.mock.patch.object(self.guard._connections, "_refusals", full):
             await self.serve("a1")
             await self.serve("a2", again=True)
         self.assertEqual(self.arrivals, [1, 2])
--- a/whinwinch/backends/exchanges.py
+++ b/whinwinch/backends/exchanges.py
@@ -20,13 +20,14 @@
         backend: Identifier of the backend server.
 
     Attributes:
+        request: The `messages.Request`.
         identifier: Identifier that the caller gave the request.
         send: `http1.client.Send` of the attempt, with number 0 until it is sent.
     """
 
     def __init__(self, request, identifier, backend):
         self._loop = asyncio.get_running_loop()
-        self._request = request
+        self.request = request
         self.identifier = identifier
         self._backend = backend
         self._started = self._loop.time()
@@ -43,7 +44,7 @@
             status: HTTP status of the answer.
             answered: Identifier of the request that it answers, "" if it has none.
         """
-        request = self._request
+        request = self.request
         decisions.log_decision(
             decisions.Dropped(
                 request.root,
@@ -58,7 +59,7 @@
 
     def log_answer(self, answer):
         """Log the `messages.Answer` if non-idempotent work may run more than once."""
-        request = self._request
+        request = self.request
         if request.repeatable:
             return
         if answer.outcome is Outcome.COMPLETED and not request.again:
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -18,7 +18,7 @@
 from .. import background, callgraph, decisions, events, gate, namedlimits
 from ..http1 import client
 from ..messages import Outcome, Reason, Refusal, build_failure
-from . import crashes, exchanges, refusals, slots
+from . import connections, crashes, exchanges, slots
 
 # Seconds after the deadline that an answer is still accepted. The backend server
 # enforces the deadline itself, and its answer states whether the request ran; a
@@ -35,18 +35,9 @@
 LIMITED_MAX_WAIT = 0.1
 # Refusals for want of slots.
 FULL_REASONS = frozenset({Reason.LEVEL, Reason.QUEUE, Reason.DEADLINE})
-# Seconds after its deadline that a request may still come again: it was sent on by
-# another daemon, whose clock isn't quite this one's.
-REPEAT_GRACE = 1.0
 # Requests carry no caller here, and their paths identify kinds of request rather
 # than keys, so there is nothing to divide into fair shares.
 NO_FAIRNESS_DIMENSIONS = ()
-# Maximum size of an answer from a backend server, in bytes.
-MAX_ANSWER_BYTES = 16 << 20
-
-
-class UnidentifiedAnswerError(Exception):
-    """An answer doesn't tell which request it answers."""
 
 
 class Backend(NamedTuple):
@@ -147,8 +138,7 @@
     ):
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
-        self._pool = client.Pool(address.host, address.port, MAX_ANSWER_BYTES)
-        self._refusal_memory = refusals.RefusalMemory()
+        self._connections = connections.Connections(address, dialect)
         self._repeat_budget = budget
         self._find_max_wait = find_max_wait
         self._call_graph = call_graph
@@ -165,8 +155,6 @@
         self.is_stopping = False
         self.running = 0
         self.refused = collections.Counter()
-        # Answers that were dropped because they belong to another request.
-        self.dropped_answers = 0
 
     def install(self, backend):
         """Set the backend server to forward to, or None.
@@ -181,7 +169,7 @@
             return
         if before is None or before.identity != backend.identity:
             # Pooled connections lead to the previous backend server.
-            self._pool.close()
+            self._connections.close()
             self._named_limit = namedlimits.NamedLimit()
             self._slots.open(backend.slots)
         elif before.slots != backend.slots:
@@ -198,7 +186,12 @@
     @property
     def connection_counts(self):
         """The `http1.client.PoolCounts` of the connections to the backend server."""
-        return self._pool.counts
+        return self._connections.counts
+
+    @property
+    def dropped_answers(self):
+        """Answers that were dropped because they belong to another request."""
+        return self._connections.dropped_answers
 
     def find_available_share(self):
         """Return the share of the slots that a named limit leaves in use, up to 1."""
@@ -292,7 +285,7 @@
 
     def close(self):
         """Close the idle connections."""
-        self._pool.close()
+        self._connections.close()
 
     def _find_refusal_reason(self, service):
         """Return the `Reason` to refuse every request of a service, or None."""
@@ -370,13 +363,11 @@
         """
         data = self._dialect.format_request(request, remaining, backend.identity)
         try:
-            response = await self._pool.exchange(
+            response = await self._connections.send(
+                exchange,
                 data,
                 request.deadline + ANSWER_GRACE,
-                request.method == "HEAD",
-                functools.partial(self._accept_answer, request, exchange),
-                functools.partial(self._begin_send, request, exchange),
-                self._refusal_memory.find_connections(exchange.identifier),
+                functools.partial(self._crash_detector.start, request),
             )
         except client.NotSentError as error:
             logging.info("failed to reach the backend server: %s", error)
@@ -395,12 +386,9 @@
             return _build_unknown(request, Reason.DEADLINE, 504)
         finally:
             self._crash_detector.end(request)
-            if not exchange.identifier:
-                # A late copy of its answer could not be told from the next request's.
-                self._pool.discard(exchange.send.connection)
         answer = self._parse_answer(request, response, backend)
         if answer.outcome is Outcome.NOT_RUN:
-            self._remember_refusal(request, exchange)
+            self._connections.record_refusal(exchange)
         if answer.reason is not Reason.WRONG_BACKEND:
             self._apply_notice(backend, self._dialect.read_notice(response))
         if answer.outcome is Outcome.COMPLETED:
@@ -408,38 +396,6 @@
             self._crash_history.record_answer(request)
         return answer
 
-    def _remember_refusal(self, request, exchange):
-        """Keep a request that was turned down from this connection from now on."""
-        is_remembered = self._refusal_memory.record(
-            exchange.identifier,
-            exchange.send.connection,
-            request.deadline + REPEAT_GRACE,
-            self._loop.time(),
-        )
-        if not is_remembered:
-            self._pool.discard(exchange.send.connection)
-
-    def _begin_send(self, request, exchange, send):
-        """Record that an attempt is being written to a connection."""
-        exchange.record_send(send)
-        self._crash_detector.start(request)
-
-    def _accept_answer(self, request, exchange, response):
-        """Return whether a response is the answer to an attempt; log any other.
-
-        Raises:
-            UnidentifiedAnswerError: If it doesn't tell which request it answers. Taken
-                for the answer, it might say "not run" of a request that runs.
-        """
-        if self._dialect.is_answer_to(request, response):
-            return True
-        self.dropped_answers += 1
-        answered = self._dialect.find_identifier(response.headers)
-        exchange.log_dropped(response.status, answered)
-        if not answered:
-            raise UnidentifiedAnswerError("answer without the identifier of a request")
-        return False
-
     async def _has_crashed(self, backend):
         """Return whether a backend server that didn't leave has crashed."""
         if self._crash_detector.has_crashed(backend):
