Tell repeated sends of the trace apart from final decisions

`whinwinch explain` takes a line with "again" false for the end of a request; the new line on each send of non-idempotent work had a field of that name with another meaning. It is `repeated` now; the test failed with the old name.

--- a/test/backends/test_exchanges.py
+++ b/test/backends/test_exchanges.py
@@ -37,7 +37,7 @@
         self.assertEqual((first.request, first.attempt, first.use), ("q1", "a1", 1))
         self.assertEqual((first.outcome, first.reason), ("not-run", "backend-shed"))
         self.assertEqual((second.request, second.attempt), ("q1", "a2"))
-        self.assertEqual((second.outcome, second.again), ("completed", True))
+        self.assertEqual((second.outcome, second.repeated), ("completed", True))
         self.assertEqual({first.backend, second.backend}, {rawservers.IDENTITY})
 
     async def test_request_that_is_served_at_once_is_not_logged(self):
--- a/test/test_explanations.py
+++ b/test/test_explanations.py
@@ -44,6 +44,19 @@
             code = commands.main(["explain", *words])
         return code, output.getvalue()
 
+    def test_sends_of_a_request_are_shown_and_decide_nothing(self):
+        """Guards against a first send that passes for the end of the request."""
+        sent = {"root": "q1", "connection": 14, "reason": "backend-shed"}
+        path = self.save(
+            "gatekeeper.log",
+            write_line(3.0, "exchanged", attempt="a1", use=46, repeated=False, **sent),
+            write_line(3.1, "exchanged", attempt="a2", use=47, repeated=True, **sent),
+        )
+        code, text = self.run_command("q1", path)
+        self.assertEqual(code, 0)
+        self.assertEqual(text.count("connection=14"), 2)
+        self.assertNotIn("Decided", text)
+
     def test_refusals_of_workspaces_are_explained(self):
         """Guards against a 401 or 429 of which nobody can tell the reason."""
         state = {"workspace": "w1", "rate": 12.0, "demand": 36.4, "version": 7}
--- a/whinwinch/decisions.py
+++ b/whinwinch/decisions.py
@@ -114,7 +114,7 @@
         backend: Identifier of the backend server.
         connection: Number of the connection, 0 if none could be opened.
         use: Number of requests that the connection has carried, this one included.
-        again: Whether an earlier attempt of the request reached a backend server.
+        repeated: Whether an earlier attempt of the request reached a backend server.
         seconds: Seconds until the answer.
     """
 
@@ -125,7 +125,7 @@
     backend: str
     connection: int
     use: int
-    again: bool
+    repeated: bool
     outcome: str
     reason: str
     status: int
