Bound the identifiers that are remembered and logged, and name the trace of an attempt

A caller chooses its identifier, up to 16 kB: 4,096 of them would have taken 64 MB in the memory of refusals. One of more than 200 characters isn't remembered, and the connection of its refusal not used again; the identifier that a backend server sends stands in a log line with 100 characters at most. The test failed before.

Two classes were called Exchange, the other one the calls between daemons: backends/tracing.py has AttemptTrace.

--- a/test/backends/test_refusals.py
+++ b/test/backends/test_refusals.py
@@ -25,6 +25,12 @@
         self.assertTrue(self.memory.record("q3", 1, 9.0, 5.0))
         self.assertEqual(len(self.memory), 1)
 
+    def test_long_identifier_is_not_remembered(self):
+        """Guards against callers that fill the memory with their identifiers."""
+        long = "q" * (refusals.MAX_IDENTIFIER_CHARACTERS + 1)
+        self.assertFalse(self.memory.record(long, 1, expires=5.0, now=0.0))
+        self.assertEqual(len(self.memory), 0)
+
     def test_requests_are_kept_until_their_last_deadline(self):
         self.memory.record("q1", 1, expires=5.0, now=0.0)
         self.memory.record("q1", 2, expires=9.0, now=1.0)
--- a/whinwinch/backends/connections.py
+++ b/whinwinch/backends/connections.py
@@ -45,11 +45,11 @@
         """The `http1.client.PoolCounts` since the start."""
         return self._pool.counts
 
-    async def send(self, exchange, data, until, on_send):
+    async def send(self, trace, data, until, on_send):
         """Send the bytes of an attempt and return the `http1.messages.HttpResponse`.
 
         Args:
-            exchange: The `exchanges.Exchange` of the attempt.
+            trace: The `tracing.AttemptTrace` of the attempt.
             data: Bytes of the attempt.
             until: Time of the loop's clock by which the response must be complete.
             on_send: Function called when a connection is open, before sending.
@@ -61,29 +61,29 @@
         """
 
         def handle_send(send):
-            exchange.record_send(send)
+            trace.record_send(send)
             on_send()
 
         try:
             return await self._pool.exchange(
                 data,
                 until,
-                exchange.request.method == "HEAD",
-                functools.partial(self._accept, exchange),
+                trace.request.method == "HEAD",
+                functools.partial(self._accept, trace),
                 handle_send,
-                self._refusals.find_connections(exchange.identifier),
+                self._refusals.find_connections(trace.identifier),
             )
         finally:
-            if not exchange.identifier:
+            if not trace.identifier:
                 # A late copy of its answer could not be told from the next request's.
-                self._pool.discard(exchange.send.connection)
+                self._pool.discard(trace.send.connection)
 
-    def record_refusal(self, exchange):
+    def record_refusal(self, trace):
         """Keep a request that was turned down from this connection from now on."""
-        connection = exchange.send.connection
-        expires = exchange.request.deadline + REPEAT_GRACE
+        connection = trace.send.connection
+        expires = trace.request.deadline + REPEAT_GRACE
         is_remembered = self._refusals.record(
-            exchange.identifier, connection, expires, self._loop.time()
+            trace.identifier, connection, expires, self._loop.time()
         )
         if not is_remembered:
             self._pool.discard(connection)
@@ -92,18 +92,18 @@
         """Close the idle connections."""
         self._pool.close()
 
-    def _accept(self, exchange, response):
+    def _accept(self, trace, response):
         """Return whether a response is the answer to an attempt; log any other.
 
         Raises:
             UnidentifiedAnswerError: If it doesn't tell which request it answers. Taken
                 for the answer, it might say "not run" of a request that runs.
         """
-        if self._dialect.is_answer_to(exchange.request, response):
+        if self._dialect.is_answer_to(trace.request, response):
             return True
         self.dropped_answers += 1
         answered = self._dialect.find_identifier(response.headers)
-        exchange.log_dropped(response.status, answered)
+        trace.log_dropped(response.status, answered)
         if not answered:
             raise UnidentifiedAnswerError("answer without the identifier of a request")
         return False
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -18,7 +18,7 @@
 from .. import background, callgraph, decisions, events, gate, namedlimits
 from ..http1 import client
 from ..messages import Outcome, Reason, Refusal, build_failure
-from . import connections, crashes, exchanges, slots
+from . import connections, crashes, slots, tracing
 
 # Seconds after the deadline that an answer is still accepted. The backend server
 # enforces the deadline itself, and its answer states whether the request ran; a
@@ -347,24 +347,24 @@
         if reason is not None or remaining <= 0.0:
             return _build_not_run(request, reason or Reason.DEADLINE)
         identifier = self._dialect.find_identifier(request.headers)
-        exchange = exchanges.Exchange(request, identifier, backend.identity)
-        answer = await self._exchange(request, remaining, backend, exchange)
-        exchange.log_answer(answer)
+        trace = tracing.AttemptTrace(request, identifier, backend.identity)
+        answer = await self._send(request, remaining, backend, trace)
+        trace.log_answer(answer)
         return answer
 
-    async def _exchange(self, request, remaining, backend, exchange):
+    async def _send(self, request, remaining, backend, trace):
         """Send the attempt to a backend server and return its answer.
 
         Args:
             request: The attempt, a `messages.Request`.
             remaining: Seconds until its deadline.
             backend: The `Backend`.
-            exchange: The `exchanges.Exchange` of the attempt.
+            trace: Its `tracing.AttemptTrace`.
         """
         data = self._dialect.format_request(request, remaining, backend.identity)
         try:
             response = await self._connections.send(
-                exchange,
+                trace,
                 data,
                 request.deadline + ANSWER_GRACE,
                 functools.partial(self._crash_detector.start, request),
@@ -388,7 +388,7 @@
             self._crash_detector.end(request)
         answer = self._parse_answer(request, response, backend)
         if answer.outcome is Outcome.NOT_RUN:
-            self._connections.record_refusal(exchange)
+            self._connections.record_refusal(trace)
         if answer.reason is not Reason.WRONG_BACKEND:
             self._apply_notice(backend, self._dialect.read_notice(response))
         if answer.outcome is Outcome.COMPLETED:
--- a/whinwinch/backends/refusals.py
+++ b/whinwinch/backends/refusals.py
@@ -11,6 +11,8 @@
 
 # Requests remembered; each takes some 0.5 kB.
 MAX_REQUESTS = 4096
+# Characters of an identifier that is remembered; callers choose it.
+MAX_IDENTIFIER_CHARACTERS = 200
 
 
 class RefusedRequest(NamedTuple):
@@ -52,6 +54,8 @@
             Whether there was room. If not, the connection must not be used again.
         """
         self._forget_expired(now)
+        if len(identifier) > MAX_IDENTIFIER_CHARACTERS:
+            return False
         known = self._requests.get(identifier)
         if known is None:
             if len(self._requests) >= self._max_requests:
--- a/whinwinch/backends/exchanges.py
+++ b/whinwinch/backends/tracing.py
@@ -10,9 +10,12 @@
 from ..http1.client import Send
 from ..messages import Outcome
 
+# Characters of an identifier that the backend server sends, in a log line.
+MAX_LOGGED_CHARACTERS = 100
 
-class Exchange:
-    """One attempt on its way to the backend server.
+
+class AttemptTrace:
+    """What is logged of one attempt at the backend server.
 
     Args:
         request: The `messages.Request`.
@@ -52,7 +55,7 @@
                 self.identifier,
                 self.send.connection,
                 status,
-                answered,
+                answered[:MAX_LOGGED_CHARACTERS],
             ),
             request.repeatable,
         )
