--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -233,7 +233,7 @@
         self.assertEqual(self.ran, ["a1"])
 
     async def test_payout_whose_caller_was_away_for_long_is_not_run_again(self):
-        """Guards against a frozen caller whose call is forgotten and then sent again."""
+        """Guards against a frozen caller that sends a forgotten call again."""
         self.hold.clear()
         payout = build_request(1)._replace(repeatable=False)
         call = asyncio.create_task(self.peer.call(payout))
--- a/test/emulator/test_doubling.py
+++ b/test/emulator/test_doubling.py
@@ -48,7 +48,7 @@
         return await asyncio.gather(*tasks)
 
     async def test_late_copy_of_a_refusal_neither_repeats_nor_refuses_a_payment(self):
-        """Guards against a refusal's copy that passes for the answer to the next send."""
+        """Guards against a refusal's copy taken for the answer to the next send."""
         for server in self.backends:
             server.faults = backend.Faults(shed=TURNED_DOWN_SHARE)
             server.doubled_share = DOUBLED_SHARE
