--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -252,6 +252,25 @@
         self.assertEqual(self.ran, ["a1"])
         self.assertEqual(answer.reason, Reason.ABANDONED)
 
+    async def test_payout_that_runs_while_its_caller_is_away_is_answered(self):
+        """Guards against an answer that is lost though its caller comes back for it."""
+        self.hold.clear()
+        payout = build_request(1, 2.0)._replace(repeatable=False)
+        call = asyncio.create_task(self.peer.call(payout))
+        await self.wait_until(lambda: self.ran)
+        with (
+            unittest.mock.patch.object(self.peer, "connect"),
+            unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0),
+            unittest.mock.patch.object(exchange, "CALLER_ABSENCE_SECONDS", 0.0),
+        ):
+            self.abort_sessions()
+            await asyncio.sleep(2 * exchange.CLEANUP_INTERVAL_SECONDS)
+        self.hold.set()
+        with unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0):
+            answer = await call
+        self.assertIs(answer.outcome, Outcome.COMPLETED)
+        self.assertEqual(self.ran, ["a1"])
+
     async def test_absent_caller_is_forgotten_after_its_deadlines(self):
         """Guards against memory that grows with each daemon that ever called."""
         await self.peer.call(build_request(1, 0.3))
