Accept no work during a stop that would be cut off by its end

Cause: the stop looked at nothing but whether something was in flight. Callers of a zone with fewer than half of its daemons ready keep coming, so every request was accepted until the local guard was idle, and whatever hadn't ended after 5.6 s was cut off. The guard did the same for calls of other daemons until 2.2 s after the signal: an unsafe call of 4 s was answered 502. After that the callers' address was closed while requests were in flight, so that callers met no connection instead of a time to come back.

What isn't accepted gets 503 and the time at which the next process serves; calls of other daemons go to another endpoint; calls of the local backend server are always served. The address stays open until nothing is in flight.

--- a/test/backends/rawservers.py
+++ b/test/backends/rawservers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from test import requests
-from whinwinch import callgraph, crashes, repeats
+from whinwinch import callgraph, crashes, repeats, stopwindow
 from whinwinch.backends import guard
 from whinwinch.http1.messages import find_header
 from whinwinch.platform import dialect
@@ -95,6 +95,7 @@
         crashes.CrashHistory(),
         lambda backend, requests: None,
         lambda identity: None,
+        stopwindow.StopWindow(),
     )
     built.install(guard.Backend(IDENTITY, "s", 50))
     return built
--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -4,7 +4,7 @@
 import unittest
 
 from test import requests
-from whinwinch import callgraph, crashes, repeats
+from whinwinch import callgraph, crashes, repeats, stopwindow
 from whinwinch.backends import guard
 from whinwinch.http1 import messages as http
 from whinwinch.http1 import server
@@ -37,6 +37,7 @@
         self.backend = server.Server(self.answer, server.Limits())
         port = await self.backend.listen("127.0.0.1", 0)
         self.wait = 5.0
+        self.stop_window = stopwindow.StopWindow()
         self.guard = guard.Guard(
             Address("127.0.0.1", port),
             guard.Dialect(
@@ -57,6 +58,7 @@
             self.history,
             lambda backend, requests: self.crashes.append(requests),
             self.leaves.append,
+            self.stop_window,
         )
         self.guard.install(BACKEND)
         self.addAsyncCleanup(self.end)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -15,7 +15,7 @@
 
 from absl import logging
 
-from .. import background, callgraph, decisions, events, gate, namedlimits
+from .. import background, callgraph, decisions, events, gate, namedlimits, stopwindow
 from ..http1 import client
 from ..messages import Outcome, Reason, Refusal, build_failure
 from . import connections, crashes, slots, tracing
@@ -122,6 +122,7 @@
             `crashes.CrashDetector`.
         handle_leave: Function called with the identifier of the backend server when
             it says in an answer that it leaves.
+        stop_window: `stopwindow.StopWindow` of the daemon.
     """
 
     def __init__(
@@ -135,6 +136,7 @@
         crash_history,
         handle_crash,
         handle_leave,
+        stop_window,
     ):
         self._loop = asyncio.get_running_loop()
         self._dialect = dialect
@@ -145,6 +147,9 @@
         self._count_endpoints = count_endpoints
         self._crash_history = crash_history
         self._handle_leave = handle_leave
+        self._stop_window = stop_window
+        # Seconds from the arrival of attempts to their answers, by route.
+        self._durations = stopwindow.RecentDurations()
         # Held by the suspect request that runs, so that a crash proves its cause.
         self._suspect_turn = asyncio.Lock()
         self._crash_detector = crashes.CrashDetector(address, handle_crash)
@@ -214,10 +219,18 @@
     async def serve(self, request):
         """Admit and run one attempt, or refuse it, and return its answer."""
         reason = self._find_refusal_reason(request.service)
-        if reason is None and request.deadline <= self._loop.time():
-            reason = Reason.DEADLINE
+        if reason is None:
+            reason = self._find_time_refusal_reason(request)
         if reason is not None:
             return self._refuse(request, reason, NO_ENDPOINT_RETRY_AFTER)
+        arrived_at = self._loop.time()
+        answer = await self._serve_in_time(request)
+        if answer.outcome is not Outcome.NOT_RUN:
+            self._durations.record(request.call, self._loop.time() - arrived_at)
+        return answer
+
+    async def _serve_in_time(self, request):
+        """Serve an attempt that can end before its deadline and the daemon's stop."""
         seconds = self._crash_history.find_refusal(request, self._loop.time())
         if seconds:
             return self._refuse(request, Reason.CAUSES_CRASHES, seconds)
@@ -296,6 +309,19 @@
             return Reason.NO_ENDPOINT
         return Reason.LEAVING if backend.leaving else None
 
+    def _find_time_refusal_reason(self, request):
+        """Return the `Reason` to refuse a request that can't end in time, or None.
+
+        An attempt that a stop would cut off is refused, to be sent to another endpoint.
+        """
+        now = self._loop.time()
+        if request.deadline <= now:
+            return Reason.DEADLINE
+        if self._stop_window.is_open:
+            return None
+        seconds = stopwindow.limit_duration(self._durations, request, now)
+        return None if self._stop_window.try_accept(now, seconds) else Reason.LEAVING
+
     async def _run_admitted(self, request):
         """Run an admitted attempt, to its end if it can't be repeated.
 
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -77,7 +77,7 @@
                 return self._finalize(request, refused, may_have_run)
             choice = self._choose_endpoint(request, sent)
             if choice.endpoint is None:
-                no_endpoint = self._refuse(
+                no_endpoint = self.refuse(
                     request, Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER
                 )
                 return self._finalize(request, no_endpoint, may_have_run)
@@ -118,6 +118,18 @@
             if decision.delay:
                 await asyncio.sleep(decision.delay)
 
+    def refuse(self, request, reason, retry_after):
+        """Return the answer to a request that isn't sent, and log and count it.
+
+        Args:
+            request: `messages.Request`.
+            reason: `messages.Reason`.
+            retry_after: Seconds after which the caller may retry.
+        """
+        self.refused[Refusal(request.call, reason)] += 1
+        decisions.log_refusal(request, reason, retry_after, "entry")
+        return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
+
     def list_set_aside(self):
         """Return the addresses of the endpoints that are set aside at present."""
         observed = self._placement.used_daemons
@@ -207,7 +219,7 @@
         """Return the refusal of a request that isn't sent at all, or None."""
         seconds = self._crash_history.find_refusal(request, self._loop.time())
         if seconds:
-            return self._refuse(request, Reason.CAUSES_CRASHES, seconds)
+            return self.refuse(request, Reason.CAUSES_CRASHES, seconds)
         # A nested call belongs to a request that was already admitted. Refusing it
         # here would waste all work done for that request.
         return None if request.via else self._refuse_by_level(request)
@@ -219,7 +231,7 @@
         decision = refuse_below(request, level)
         if decision is None:
             return None
-        answer = self._refuse(request, decision.reason, decision.retry_after)
+        answer = self.refuse(request, decision.reason, decision.retry_after)
         return answer._replace(load=messages.Load(below=level))
 
     async def _send(self, attempt, choice):
@@ -239,8 +251,3 @@
         for record in self._crash_history.list_suspicions(attempt):
             peer.send_if_connected(frames.Crash(record))
         return await peer.call(attempt)
-
-    def _refuse(self, request, reason, retry_after):
-        self.refused[Refusal(request.call, reason)] += 1
-        decisions.log_refusal(request, reason, retry_after, "entry")
-        return build_failure(request, Outcome.NOT_RUN, reason, retry_after=retry_after)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -22,6 +22,7 @@
     messages,
     repeats,
     routes,
+    stopwindow,
     subsets,
 )
 from .backends.guard import Backend, Guard
@@ -132,6 +133,9 @@
         self.crash_history = crashes.CrashHistory()
         # Crashes of the local backend server that are to be written to the log.
         self.crash_records = asyncio.Queue()
+        self.stop_window = stopwindow.StopWindow()
+        # Seconds from the arrival of callers' requests to their answers, by route.
+        self._durations = stopwindow.RecentDurations()
         self.guard = Guard(
             backend_address,
             dialect,
@@ -144,6 +148,7 @@
             self.crash_history,
             self._handle_crash,
             handle_leave,
+            self.stop_window,
         )
         self.exchange = exchange.Exchange(
             hello,
@@ -273,10 +278,22 @@
         Returns:
             The `messages.Answer`.
         """
-        self.caller_drain.record_arrival(self._loop.time())
+        arrived_at = self._loop.time()
+        self.caller_drain.record_arrival(arrived_at)
         parent = self._find_parent(request, route, connection, expires)
         if parent is None:
-            return await self._serve_root(request, route)
+            answer = await self._serve_root(request, route)
+        else:
+            answer = await self._serve_call(request, route, parent, connection)
+        if answer.outcome is not Outcome.NOT_RUN:
+            self._durations.record(request.call, self._loop.time() - arrived_at)
+        return answer
+
+    async def _serve_call(self, request, route, parent, connection):
+        """Serve a call of the local backend server, also while the daemon stops.
+
+        The request that makes it has been accepted and would fail without it.
+        """
         succeeded = False
         try:
             call = self._inherit(request, parent)
@@ -288,6 +305,8 @@
 
     async def _serve_root(self, request, route):
         """Serve a caller's request within the quota of its workspace."""
+        if not self._may_end_in_time(request):
+            return self._refuse_while_stopping(request)
         if not self.ledger.try_spend(request, self._loop.time()):
             return self._refuse_beyond_quota(request)
         answer = await self.forwarder.serve(request, route.max_endpoints)
@@ -295,6 +314,19 @@
             self.ledger.refund(request, self._loop.time())
         return answer
 
+    def _may_end_in_time(self, request):
+        """Return whether a request is accepted, which it is unless the daemon stops."""
+        if self.stop_window.is_open:
+            return True
+        now = self._loop.time()
+        seconds = stopwindow.limit_duration(self._durations, request, now)
+        return self.stop_window.try_accept(now, seconds)
+
+    def _refuse_while_stopping(self, request):
+        now = self._loop.time()
+        seconds = self.stop_window.find_retry_after(now, request.attempt)
+        return self.forwarder.refuse(request, Reason.LEAVING, seconds)
+
     def _refuse_beyond_quota(self, request):
         reason = Reason.QUOTA
         seconds = self.ledger.find_retry_after(request)
@@ -303,9 +335,18 @@
         decisions.log_over_quota(request, reason, seconds, state, self.table.version)
         return build_failure(request, Outcome.NOT_RUN, reason, retry_after=seconds)
 
+    def begin_stop(self, until):
+        """Accept only work that will probably end before a time of the loop's clock."""
+        longest = self._durations.find_longest_of_all()
+        self.stop_window.begin(self._loop.time(), until, longest)
+
     def begin_leaving(self):
-        """Refuse all further attempts, and tell the other daemons."""
+        """Refuse all further attempts, and tell the other daemons.
+
+        Requests of callers are still accepted if they end before those in flight.
+        """
         self._is_leaving = True
+        self.stop_window.close()
         self.guard.stop()
         self._publish()
 
--- a/whinwinch/shutdown.py
+++ b/whinwinch/shutdown.py
@@ -45,20 +45,25 @@
         text: Whether all requests in flight were answered.
         seconds: Seconds since the signal.
         withdrawn: Whether the record of the daemon has been withdrawn from the log.
+        attempts: Attempts of other daemons that are cut off.
+        outward: Requests of callers and of the local backend server that are cut off.
     """
 
     text: str
     seconds: float
     withdrawn: bool
+    attempts: int
+    outward: int
 
 
 async def stop(instance, servers, seconds, withdraw):
     """Finish the requests in flight, then stop serving.
 
-    All requests, also the calls of other daemons, are served until callers have been
-    routed elsewhere: a backend server that keeps running can be reached only through
-    this daemon. If calls were refused from the signal on, a service of three endpoints
-    would lose one of them while the daemon stops and restarts.
+    All requests that can end in time, also the calls of other daemons, are served until
+    callers have been routed elsewhere: a backend server that keeps running can be
+    reached only through this daemon. If calls were refused from the signal on, a
+    service of three endpoints would lose one of them while the daemon stops and
+    restarts.
 
     Args:
         instance: `instance.Instance`.
@@ -70,27 +75,21 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     until = started_at + seconds - CLOSING_RESERVE
+    instance.begin_stop(until)
     events.write("stop", _describe_begin(instance, servers, started_at))
     await _wait_for_callers(instance.caller_drain, servers, started_at, seconds)
     instance.begin_leaving()
     withdrawal = loop.create_task(withdraw())
-    # Requests at the backend server may still make nested calls, also over new
-    # connections to the callers' address.
-    await _wait_until(lambda: not instance.guard.running, until)
-    for server in servers:
-        server.end_stop()
-    await _wait_until(lambda: _is_idle(instance, servers), until)
-    text = (
-        "no requests in flight"
-        if _is_idle(instance, servers)
-        else "ran out of time with requests in flight"
-    )
     # Without this wait, the record of a daemon that has nothing in flight would stay in
     # the log, and other daemons would go on counting it.
     await asyncio.wait([withdrawal], timeout=WITHDRAWAL_SECONDS)
-    is_withdrawn = withdrawal.done() and withdrawal.result()
-    elapsed = round(loop.time() - started_at, 3)
-    events.write("stopped", StopEnd(text, elapsed, is_withdrawn))
+    # The address of the callers stays open until nothing is in flight: the backend
+    # server may still make nested calls over new connections, and callers that are not
+    # routed elsewhere are told when to come back.
+    await _wait_until(lambda: _is_idle(instance, servers), until)
+    events.write("stopped", _describe_end(instance, servers, started_at, withdrawal))
+    for server in servers:
+        server.end_stop()
 
 
 async def _wait_for_callers(drain, servers, started_at, seconds):
@@ -115,6 +114,19 @@
     return not in_flight and all(server.is_idle for server in servers)
 
 
+def _describe_end(instance, servers, started_at, withdrawal):
+    text = "no requests in flight"
+    if not _is_idle(instance, servers):
+        text = "ran out of time with requests in flight"
+    return StopEnd(
+        text,
+        round(asyncio.get_running_loop().time() - started_at, 3),
+        withdrawal.done() and withdrawal.result(),
+        instance.exchange.running,
+        sum(server.count_pending() for server in servers),
+    )
+
+
 def _describe_begin(instance, servers, now):
     drain = instance.caller_drain
     return StopBegin(
