Answer what runs behind the first answer of a connection before it is closed by a stop

Two more ends without a whole answer, at the very end of a stop: an answer that a slow reader hasn't taken yet, and a reply to another daemon that still waits in the connection's buffer, counted as done, so that the process ended before it was sent.

Now the last answer of a connection closes it, and nothing is read after its first one, so what was not read is sent again by its caller. Bytes that aren't sent keep a stop waiting, to its end at most. The two tests of test.http1.test_server failed before ("0 != 1" answers; idle with bytes unsent) and pass; test_links has one for replies.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -576,3 +576,15 @@
         self.assertEqual(list(frames.decode_frames(unpacker, halves[0], 99.0)), [])
         (call,) = frames.decode_frames(unpacker, halves[1], 100.0)
         self.assertEqual(call.request, request._replace(deadline=102.5, due=101.0))
+
+    async def test_reply_that_is_not_sent_yet_is_known(self):
+        """Guards against a stop that cuts off the reply to another daemon."""
+        request = build_request(1)._replace(body=b"b" * (16 << 20))
+        task = asyncio.create_task(self.peer.call(request))
+        async with asyncio.timeout(10):
+            while not self.called.has_unsent_bytes:
+                await asyncio.sleep(0)
+        self.assertFalse(task.done())
+        answer = await task
+        self.assertEqual(answer.body, request.body)
+        self.assertFalse(self.called.has_unsent_bytes)
--- a/test/http1/test_server.py
+++ b/test/http1/test_server.py
@@ -7,6 +7,8 @@
 from whinwinch.http1 import messages, server
 
 REQUEST = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+# More than the buffers of a socket hold.
+LARGE_BODY_BYTES = 32 << 20
 
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
@@ -14,6 +16,8 @@
         self.seen = []
         self.gates = {}
         self.cancelled = []
+        # Body of each response, the target of its request by default.
+        self.body = b""
         limits = server.Limits(
             header_bytes=400, body_bytes=10, header_seconds=0.2, idle_seconds=0.3
         )
@@ -31,7 +35,8 @@
             raise
         if request.target == "/fault":
             raise RuntimeError("a fault of ours")
-        return messages.HttpResponse(200, "OK", (), request.target.encode())
+        body = self.body or request.target.encode()
+        return messages.HttpResponse(200, "OK", (), body)
 
     async def connect(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -187,3 +192,38 @@
         answer = await reader.read()
         self.assertIn(b"Connection: close", answer)
         self.assertTrue(answer.endswith(b"/1"))
+
+    async def test_stop_answers_pipelined_requests_that_are_running(self):
+        """Guards against work cut off behind the first answer of its connection."""
+        self.gates["/1"], self.gates["/2"] = asyncio.Event(), asyncio.Event()
+        reader, writer = await self.connect()
+        writer.write(REQUEST % 1 + REQUEST % 2)
+        while len(self.seen) < 2:
+            await asyncio.sleep(0.001)
+        self.server.begin_stop()
+        self.gates["/1"].set()
+        await reader.readuntil(b"/1")
+        writer.write(REQUEST % 3)
+        await asyncio.sleep(0.01)
+        self.gates["/2"].set()
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertIn(b"Connection: close", answer)
+        self.assertTrue(answer.endswith(b"/2"))
+        self.assertEqual([request.target for request in self.seen], ["/1", "/2"])
+        self.assertEqual(self.cancelled, [])
+
+    async def test_answer_that_is_not_sent_yet_is_not_idle(self):
+        """Guards against a stop that cuts off an answer that is read slowly."""
+        self.body = b"x" * LARGE_BODY_BYTES
+        reader, writer = await self.connect()
+        writer.write(REQUEST % 1)
+        await reader.readuntil(b"\r\n\r\n")
+        self.server.begin_stop()
+        self.assertFalse(self.server.is_idle)
+        async with asyncio.timeout(10):
+            answer = await reader.readexactly(LARGE_BODY_BYTES)
+        self.assertEqual(answer, self.body)
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.server.is_idle)
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -286,6 +286,13 @@
         """Number of attempts of other daemons that are running."""
         return sum(len(caller.running) for caller in self._callers.values())
 
+    @property
+    def has_unsent_bytes(self):
+        """Whether bytes of a message wait for another daemon to read."""
+        return any(
+            session.transport.get_write_buffer_size() > 0 for session in self.sessions
+        )
+
     async def _run(self, caller, call):
         try:
             answer = await self._serve(call.request)
--- a/whinwinch/http1/server.py
+++ b/whinwinch/http1/server.py
@@ -223,6 +223,12 @@
         """Whether no request is being read or answered."""
         return not self._pending and not self._in_request
 
+    @property
+    def has_unsent_bytes(self):
+        """Whether bytes of a response wait for the caller to read."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     async def _serve(self, pending, request):
         try:
             pending.response = await self._server.handle(request, self._sender)
@@ -240,7 +246,11 @@
             if self._transport is None:
                 return
             closing = not pending.keep_alive or not pending.response.keep_alive
-            closing = closing or self._server.is_stopping
+            if self._server.is_stopping:
+                # The later requests of the connection may be running. They are
+                # answered, and those that have not been read are sent again elsewhere.
+                self._stop_reading()
+                closing = closing or not self._pending
             data = messages.format_response(pending.response, closing, pending.is_head)
             self._transport.write(data)
             if closing:
@@ -248,13 +258,17 @@
                 return
         self._apply_backpressure()
 
+    def _stop_reading(self):
+        self._is_closing = True
+        self._in_request = False
+
     def _close_after_response(self):
         """Close after a response and cancel the later requests."""
         for pending in self._pending:
             if pending.task is not None:
                 pending.task.cancel()
         self._pending.clear()
-        self._is_closing = True
+        self._stop_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._server.loop.call_later(LINGER_SECONDS, self._transport.close)
@@ -264,8 +278,7 @@
         pending = PendingResponse(False, False)
         pending.response = self._server.refuse(status)
         self._pending.append(pending)
-        self._is_closing = True
-        self._in_request = False
+        self._stop_reading()
         self._flush()
 
     def _add_header_bytes(self, size):
@@ -403,8 +416,11 @@
 
     @property
     def is_idle(self):
-        """Whether no connection has a request that is being read or answered."""
-        return all(connection.is_idle for connection in self.connections)
+        """Whether no request is being read or answered, and all bytes are sent."""
+        return all(
+            connection.is_idle and not connection.has_unsent_bytes
+            for connection in self.connections
+        )
 
     def count_pending(self):
         """Return the number of requests that are being answered."""
--- a/whinwinch/shutdown.py
+++ b/whinwinch/shutdown.py
@@ -110,8 +110,10 @@
 
 
 def _is_idle(instance, servers):
-    in_flight = instance.guard.running or instance.exchange.running
-    return not in_flight and all(server.is_idle for server in servers)
+    exchange = instance.exchange
+    if instance.guard.running or exchange.running or exchange.has_unsent_bytes:
+        return False
+    return all(server.is_idle for server in servers)
 
 
 def _describe_end(instance, servers, started_at, withdrawal):
