Take a later start under the same identifier for another process at the gatekeeper

The start time that heartbeats carry now belongs to `Backend`, and the guard and the detection of crashes compare both. The `backend` line tells it. With the old comparison put back the test of test.backends.test_guard fails (1 connection opened, 2 wanted); it passes now. Slots and crashes of such a start are by reading.

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -319,3 +319,12 @@
         self.endpoints = 2
         served = await self.start("again", path="/x")
         self.assertIs(served.outcome, Outcome.COMPLETED)
+
+    async def test_next_start_under_the_same_identifier_gets_new_connections(self):
+        """Guards against requests lost on connections to the process before."""
+        self.hold.set()
+        identified = (("X-Request-Id", "r"),)
+        for start_time_ms, opened in ((100, 1), (100, 1), (200, 2)):
+            self.guard.install(BACKEND._replace(start_time_ms=start_time_ms))
+            await self.start("work", headers=identified)
+            self.assertEqual(self.guard.connection_counts.opened, opened)
--- a/whinwinch/backends/crashes.py
+++ b/whinwinch/backends/crashes.py
@@ -25,8 +25,8 @@
         self._address = address
         self._handle_crash = handle_crash
         self._in_flight = {}
-        # Identifier of the backend server that crashed last, "" once one has answered.
-        self._crashed = ""
+        # The `guard.Backend` that crashed last, None once one has answered.
+        self._crashed = None
         self._check = None
 
     def start(self, request):
@@ -47,11 +47,11 @@
 
         A backend server may refuse connections for a moment because it has too many.
         """
-        self._crashed = ""
+        self._crashed = None
 
     def has_crashed(self, backend):
         """Return whether a backend server is known to have crashed."""
-        return backend.identity == self._crashed
+        return self._crashed is not None and self._crashed.is_same_process(backend)
 
     async def check(self, backend):
         """Return whether a backend server, to which a connection broke, has crashed.
@@ -68,7 +68,7 @@
     async def _run_check(self, backend):
         if not await self._is_refused():
             return False
-        self._crashed = backend.identity
+        self._crashed = backend
         self._handle_crash(backend, tuple(self._in_flight.values()))
         return True
 
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -44,16 +44,24 @@
     """The local backend server, as it announced itself.
 
     Attributes:
-        identity: Identifier of the backend server's process, new at every start.
+        identity: Identifier of the backend server.
         service: Name of its service.
         slots: Number of requests that it can process concurrently.
         leaving: Whether it accepts no new work.
+        start_time_ms: Start time of its process in milliseconds of its wall clock, 0
+            when it isn't announced.
     """
 
     identity: str
     service: str
     slots: int
     leaving: bool = False
+    start_time_ms: int = 0
+
+    def is_same_process(self, other):
+        """Return whether another `Backend` is the same process."""
+        is_same_start = self.start_time_ms == other.start_time_ms
+        return self.identity == other.identity and is_same_start
 
 
 class Notice(NamedTuple):
@@ -172,7 +180,7 @@
         if backend is None or backend.leaving:
             self._slots.refuse_waiting()
             return
-        if before is None or before.identity != backend.identity:
+        if before is None or not before.is_same_process(backend):
             # Pooled connections lead to the previous backend server.
             self._connections.close()
             self._named_limit = namedlimits.NamedLimit()
@@ -427,13 +435,13 @@
         if self._crash_detector.has_crashed(backend):
             return True
         current = self.backend
-        if current is None or current.leaving or current.identity != backend.identity:
+        if current is None or current.leaving or not current.is_same_process(backend):
             return False
         return await self._crash_detector.check(backend)
 
     def _apply_notice(self, backend, notice):
         """Apply what a backend server tells of itself, if it is the present one."""
-        if self.backend is None or self.backend.identity != backend.identity:
+        if self.backend is None or not self.backend.is_same_process(backend):
             return
         if notice.leaving and not self.backend.leaving:
             self._handle_leave(backend.identity)
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -77,6 +77,7 @@
     service: str
     slots: int
     leaving: bool
+    start_time_ms: int
 
 
 class BackendCrash(NamedTuple):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -343,6 +343,7 @@
                     newest.service,
                     newest.slots,
                     newest.state is State.LEAVING,
+                    newest.start_time_ms,
                 )
             )
         self._records.note_change()
