Acknowledge a leave once it is recorded, and read the records before a heartbeat is believed

Cause: an acknowledgement went out before anything outside the process knew of it. A daemon that started took that record from whichever daemon handed it on first.

Now each leave, of one start of a backend server, is a record of its own in the topic `keyed.leaves` (leaverecords.py). It is acknowledged once the store has it; 503 if that takes over 0.8 s, while the write goes on and the gatekeeper refuses new work at once in any case. A daemon that starts reads the topic from the store itself before it believes a heartbeat, for 2 s at most: then what other daemons know has to do. A record has its own key, so a write that is executed late changes nothing; the first reader deletes records older than ten minutes. A leave holds for a start: a later one under the same identifier gets work (before: never again).

--- /dev/null
+++ b/test/emulator/test_leaves.py
@@ -0,0 +1,169 @@
+"""Tests of backend servers that leave beside a daemon that doesn't stay."""
+
+import asyncio
+import json
+import unittest
+
+from emulator import backend, caller, mesh, samplemesh, store
+from whinwinch.platform import leaverecords, node
+
+READ_PATH = "/read/"
+READ = caller.Kind("r.example", READ_PATH, "GET", 3.0, 1.0, retries=0)
+SERVICES = (mesh.Service("reads", 2, 40, {READ_PATH: backend.Work(0.02)}),)
+CONFIGURATION = {
+    **samplemesh.CONFIGURATION,
+    "routes": {
+        "read": samplemesh.build_route(
+            "r.example", READ_PATH, "reads", "safe", 2, 3000, 1000
+        )
+    },
+}
+READ_COUNT = 20
+# Delay of an answer of the store for which an acknowledgement has to wait.
+SLOW_SECONDS = 0.3
+
+
+class LeavesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.mesh = mesh.Mesh(SERVICES, CONFIGURATION)
+        await self.mesh.__aenter__()
+        self.addAsyncCleanup(self.mesh.__aexit__, None, None, None)
+        self.member, self.other = self.mesh.members
+        self.backend = self.member.backend
+
+    def build_late_heartbeat(self):
+        """Return the next heartbeat as it is before the backend server leaves."""
+        heartbeat = {
+            "service": self.backend.service,
+            "address": self.backend.address,
+            "slots": self.backend.slots,
+            "state": "ready",
+            "seq": 1_000,
+            "born": self.backend.born,
+        }
+        return json.dumps(heartbeat).encode()
+
+    async def restart_daemon(self):
+        """Kill the daemon and start it again; its backend server keeps running."""
+        await self.mesh.kill(self.member)
+        self.member = await self.mesh.restart(self.member)
+        instance = self.member.node.instance
+        await self.mesh.wait_until(lambda: instance.table.version)
+
+    async def send_late_heartbeat(self):
+        """Let the heartbeat arrive and wait until the daemon would believe it."""
+        await self.backend.send_report("PUT", self.build_late_heartbeat())
+        await asyncio.sleep(node.LEAVES_WAIT)
+
+    async def assert_gets_no_work(self):
+        """Send requests through both daemons; none may reach the backend server."""
+        count = len(self.backend.arrivals)
+        for member in self.mesh.members:
+            for _ in range(READ_COUNT):
+                await caller.send_with_retries(member.callers, READ)
+        self.assertEqual(len(self.backend.arrivals), count)
+
+    async def assert_serves(self, member):
+        results = [
+            await caller.send_with_retries(member.callers, READ)
+            for _ in range(READ_COUNT)
+        ]
+        self.assertTrue(all(result.whole for result in results), results)
+
+    def list_recorded(self):
+        return list(self.mesh.store.find(leaverecords.LEAVES_TOPIC).newest)
+
+    async def test_kill_right_after_a_delete_does_not_bring_work_back(self):
+        """Guards against requests lost at a backend server that counts as gone."""
+        self.assertEqual(await self.backend.leave(), 200)
+        await self.restart_daemon()
+        await self.send_late_heartbeat()
+        await self.assert_gets_no_work()
+
+    async def test_kill_right_after_draining_does_not_bring_work_back(self):
+        """Guards against an acknowledgement that only the killed process knew."""
+        self.backend.state = "draining"
+        self.mesh.store.faults = store.Faults(delay=SLOW_SECONDS)
+        self.assertEqual(await self.backend.announce(), 200)
+        await self.restart_daemon()
+        self.mesh.store.faults = store.Faults()
+        self.backend.state = "ready"
+        await self.send_late_heartbeat()
+        await self.assert_gets_no_work()
+
+    async def test_planned_stop_keeps_the_word_of_a_leave(self):
+        """Guards against a stop that deletes what a backend server was promised."""
+        self.assertEqual(await self.backend.leave(), 200)
+        self.member.node.stop()
+        await self.member.task
+        self.member = await self.mesh.restart(self.member)
+        await self.send_late_heartbeat()
+        await self.assert_gets_no_work()
+
+    async def test_leave_is_not_acknowledged_before_it_is_recorded(self):
+        """Guards against a promise that ends with this process."""
+        self.mesh.store.faults = store.Faults(refuse=503)
+        self.assertEqual(await self.backend.leave(), 503)
+        await self.assert_gets_no_work()
+        self.mesh.store.faults = store.Faults()
+        await self.mesh.wait_until(self.list_recorded)
+        self.assertEqual(await self.backend.leave(), 200)
+
+    async def test_lost_answer_of_the_store_delays_the_acknowledgement_only(self):
+        """Guards against a leave that is never acknowledged after a lost answer."""
+        self.backend.state = "draining"
+        self.mesh.store.faults = store.Faults(lose=True)
+        self.assertEqual(await self.backend.announce(), 503)
+        self.mesh.store.faults = store.Faults()
+        async with asyncio.timeout(4.0):
+            while await self.backend.announce() != 200:
+                await asyncio.sleep(0.1)
+
+    async def test_same_identifier_with_a_later_start_gets_work(self):
+        """Guards against an endpoint that is dead for good after its restart."""
+        self.backend.state = "draining"
+        self.assertEqual(await self.backend.announce(), 200)
+        self.assertEqual(await self.backend.leave(), 200)
+        await self.restart_daemon()
+        self.backend.state = "ready"
+        self.backend.born += 1
+        self.assertEqual(await self.backend.announce(), 200)
+        instance = self.member.node.instance
+        await self.mesh.wait_until(lambda: instance.guard.has_free_slot("reads"))
+        self.assertEqual(await self.mesh.probe_readiness(self.member), 200)
+        count = len(self.backend.arrivals)
+        await self.assert_serves(self.member)
+        self.assertGreater(len(self.backend.arrivals), count)
+
+    async def test_daemon_serves_although_leaves_cannot_be_read(self):
+        """Guards against an outage of the store that takes backend servers away."""
+        await self.mesh.kill(self.member)
+        self.mesh.store.faults = store.Faults(refuse=503)
+        self.member = await self.mesh.restart(self.member)
+        instance = self.member.node.instance
+        await self.mesh.wait_until(lambda: instance.table.version)
+        await self.backend.announce()
+        await asyncio.sleep(node.LEAVES_WAIT)
+        self.assertTrue(instance.guard.has_free_slot("reads"))
+        await self.assert_serves(self.member)
+
+    async def test_leave_that_other_daemons_know_holds_while_the_store_is_away(self):
+        """Guards against a promise that is forgotten in an outage of the store."""
+        self.backend.state = "draining"
+        self.assertEqual(await self.backend.announce(), 200)
+        address = str(self.member.settings.daemons)
+        directory = self.other.node.instance.directory
+        await self.mesh.wait_until(
+            lambda: directory.find_recorded(address).leaving_backend
+        )
+        await self.mesh.kill(self.member)
+        self.mesh.store.faults = store.Faults(refuse=503)
+        self.member = await self.mesh.restart(self.member)
+        self.backend.state = "ready"
+        await self.send_late_heartbeat()
+        await self.assert_gets_no_work()
+
+    async def test_identifier_that_no_record_can_hold_is_refused(self):
+        """Guards against an error in the middle of an acknowledgement."""
+        self.backend.identity = "i" * (node.MAX_IDENTIFIER_BYTES + 1)
+        self.assertEqual(await self.backend.announce(), 400)
--- /dev/null
+++ b/whinwinch/platform/leaverecords.py
@@ -0,0 +1,190 @@
+"""Records of the backend servers that have told this daemon that they leave.
+
+A backend server whose leave was acknowledged counts on getting no new work soon after.
+If only this process knew of it, its successor after a kill would believe a "ready"
+heartbeat that was sent before and arrives late, and requests would be lost when the
+backend server exits. So a leave is acknowledged once it is recorded in the store, and
+a daemon that starts reads the records before it believes a heartbeat.
+
+Each leave has a key of its own: a write that the store executes late, after its answer
+was lost, changes nothing.
+"""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+from .. import background, events
+from ..announcements import Leave
+from ..logservice import keyed
+from .store import StoreError
+
+LEAVES_TOPIC = "keyed.leaves"
+# Seconds before another attempt to write or read.
+RETRY_DELAY = 0.4
+# Seconds between two searches for old records. A record is deleted by the second one
+# that finds it: no heartbeat is that late.
+CLEANUP_INTERVAL = 600.0
+_SEPARATOR = "/"
+
+
+class RecordedLeave(NamedTuple):
+    """Event: the leave of a backend server is in the store.
+
+    Attributes:
+        identity: Identifier of the backend server.
+        start_time_ms: Its start time in milliseconds, None if unknown.
+        seconds: Seconds that it took to record it.
+    """
+
+    identity: str
+    start_time_ms: int | None
+    seconds: float
+
+
+class RestoredLeaves(NamedTuple):
+    """Event: the records of leaves have been read at the start.
+
+    Attributes:
+        identities: Identifiers of the backend servers of this daemon that leave or have
+            left.
+    """
+
+    identities: tuple[str, ...]
+
+
+class LeaveRecords:
+    """The leaves of one daemon's backend servers in the store.
+
+    Args:
+        store: `store.Store`.
+        address: Address of the daemon, which its successor has too.
+        apply: Function called with all `announcements.Leave` tuples that were read.
+
+    Attributes:
+        is_read: Whether they have been read.
+    """
+
+    def __init__(self, store, address, apply):
+        self._store = store
+        self._address = address
+        self._apply = apply
+        self._background = background.Background()
+        # Tasks that write a leave, also those that are done.
+        self._writes = {}
+        self.is_read = False
+
+    def begin_write(self, leave):
+        """Write a leave to the store, unless that has begun already."""
+        if leave not in self._writes:
+            self._writes[leave] = self._background.start(self._write(leave))
+
+    async def write(self, leave, seconds):
+        """Write a leave to the store; return whether it is there in time.
+
+        Args:
+            leave: `announcements.Leave`.
+            seconds: Seconds to wait. The write goes on after them.
+        """
+        self.begin_write(leave)
+        done, _ = await asyncio.wait([self._writes[leave]], timeout=seconds)
+        return bool(done)
+
+    async def maintain(self, is_cleaner):
+        """Read the leaves, then delete records of no more use, until cancelled.
+
+        Args:
+            is_cleaner: Function that returns whether this daemon deletes old records.
+        """
+        while not await self._try_read():
+            await asyncio.sleep(RETRY_DELAY)
+        before = frozenset()
+        while True:
+            await asyncio.sleep(CLEANUP_INTERVAL)
+            if is_cleaner():
+                before = await self._delete_known(before)
+
+    def close(self):
+        """End all writes."""
+        for task in self._writes.values():
+            task.cancel()
+
+    async def _try_read(self):
+        """Read and apply this daemon's leaves; return whether that succeeded."""
+        try:
+            page = await self._store.read_newest(LEAVES_TOPIC)
+        except StoreError as error:
+            events.write("leaves-unread", events.Message(str(error)))
+            return False
+        self.is_read = True
+        leaves = _list_leaves(page.records, self._address)
+        identities = tuple(leave.identity for leave in leaves)
+        events.write("leaves", RestoredLeaves(identities))
+        self._apply(leaves)
+        return True
+
+    async def _write(self, leave):
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        record = keyed.Record(_build_key(self._address, leave), _encode_leave(leave))
+        while not await self._try_append(record):
+            await asyncio.sleep(RETRY_DELAY)
+        seconds = round(loop.time() - started_at, 3)
+        events.write("leave", RecordedLeave(*leave, seconds))
+
+    async def _delete_known(self, before):
+        """Delete the records that were there before; return those that are new."""
+        try:
+            page = await self._store.read_newest(LEAVES_TOPIC)
+        except StoreError as error:
+            events.write("leaves-unread", events.Message(str(error)))
+            return before
+        present = frozenset(record.key for record in page.records)
+        for key in sorted(present & before):
+            await self._try_append(keyed.Record(key, b""))
+        return present - before
+
+    async def _try_append(self, record):
+        try:
+            await self._store.append(LEAVES_TOPIC, record)
+        except StoreError as error:
+            events.write("leave-not-written", events.Message(str(error)))
+            return False
+        return True
+
+
+def _build_key(address, leave):
+    return address + _SEPARATOR + leave.identity
+
+
+def _encode_leave(leave):
+    return json.dumps(leave._asdict()).encode()
+
+
+def _list_leaves(records, address):
+    """Return the `Leave` tuples of a daemon's backend servers among all records."""
+    own = [each for each in records if each.key.startswith(address + _SEPARATOR)]
+    leaves = []
+    for record in own:
+        try:
+            leaves.append(decode_leave(record.value))
+        except ValueError as error:
+            events.write("record-unread", events.Message(f"{record.key}: {error}"))
+    return tuple(leaves)
+
+
+def decode_leave(value):
+    """Return the `announcements.Leave` of a record's value.
+
+    Raises:
+        ValueError: When the value isn't the record of a leave.
+    """
+    fields = json.loads(value)
+    if not isinstance(fields, dict):
+        raise ValueError("must be a JSON object")
+    identity, start_time_ms = fields.get("identity"), fields.get("start_time_ms")
+    if not isinstance(identity, str):
+        raise ValueError("identity must be a string")
+    if start_time_ms is not None and type(start_time_ms) is not int:
+        raise ValueError("start_time_ms must be an integer or null")
+    return Leave(identity, start_time_ms)
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -18,7 +18,15 @@
 from ..instance import Instance, Location
 from ..logservice import keyed
 from ..metrics import CONTENT_TYPE, Gauge, Metrics
-from . import configuration, dialect, followers, heartbeats, records, settings
+from . import (
+    configuration,
+    dialect,
+    followers,
+    heartbeats,
+    leaverecords,
+    records,
+    settings,
+)
 from .recordkeeping import INSTANCES_TOPIC, RecordKeeper
 from .store import Store
 
@@ -45,6 +53,14 @@
 NOT_READY_RETRY_AFTER = 0.5
 # Seconds after the start in which a backend server that runs sends its next heartbeat.
 HEARTBEAT_WAIT = 2.0
+# Seconds after the start in which the records of leaves are read before a heartbeat is
+# believed. If the store is away for longer, the backend server would serve nobody.
+LEAVES_WAIT = 2.0
+# Seconds that the acknowledgement of a leave waits for its record. A backend server
+# takes no answer after one second.
+LEAVE_RECORD_WAIT = 0.8
+# Longest identifier of a backend server in bytes: the store's keys have 255 at most.
+MAX_IDENTIFIER_BYTES = 200
 # Seconds before a task that was ended by an unexpected error is restarted.
 TASK_RESTART_DELAY = 0.5
 
@@ -114,6 +130,9 @@
         self._records = RecordKeeper(
             self._store, self.instance, self._followed_instances
         )
+        self._leaves = leaverecords.LeaveRecords(
+            self._store, self.instance.location.address, self._apply_leaves
+        )
         limits = Limits()
         self._callers = Server(self._answer_call, limits)
         self._readiness = Server(self._answer_readiness, limits)
@@ -154,6 +173,7 @@
         others = (self._control, self._readiness, self._metrics_page)
         for server in (self._callers, *others):
             server.abort()
+        self._leaves.close()
         self.instance.close()
         self._store.close()
 
@@ -162,6 +182,7 @@
         initial, loop = self._settings, asyncio.get_running_loop()
         self._started_at = loop.time()
         waiting = loop.call_later(HEARTBEAT_WAIT, self._route_callers)
+        believing = loop.call_later(LEAVES_WAIT, self._install_deferred)
         tasks = [loop.create_task(keep_running(work)) for work in self._list_work()]
         try:
             await self._stopping.wait()
@@ -171,6 +192,7 @@
             raise
         finally:
             waiting.cancel()
+            believing.cancel()
 
         await shutdown.stop(
             self.instance, (self._callers,), initial.stop_grace, self._records.withdraw
@@ -202,6 +224,7 @@
                 INSTANCES_BATCH_DELAY,
             ),
             *self._records.list_work(),
+            functools.partial(self._leaves.maintain, self._is_first_reader),
             self._watch_settings,
             instance.peers.check_periodically,
             instance.exchange.clean_up_periodically,
@@ -293,6 +316,8 @@
         if identity == path or not identity or "/" in identity:
             return HttpResponse(404, "Not Found")
         try:
+            if len(identity) > MAX_IDENTIFIER_BYTES:
+                raise ValueError("the identifier is too long")
             if http.method == "PUT":
                 self._apply_heartbeat(heartbeats.parse_heartbeat(identity, http.body))
             elif http.method == "DELETE":
@@ -304,6 +329,12 @@
         except (InputErrors, ValueError) as error:
             events.write("heartbeat-unread", events.Message(f"{identity}: {error}"))
             return HttpResponse(400, "Bad Request")
+        leave = self._announcements.last_leave
+        if leave is not None and leave.identity == identity:
+            if not await self._leaves.write(leave, LEAVE_RECORD_WAIT):
+                # A successor of this process would know nothing of the leave.
+                events.write("leave-unacknowledged", events.Message(identity))
+                return HttpResponse(503, "Not Recorded")
         return HttpResponse(200, "OK", (("Content-Type", "application/json"),), b"{}")
 
     def _apply_heartbeat(self, announcement):
@@ -323,13 +354,33 @@
     def _handle_leave(self, identity):
         """Give no new work to a backend server that says in an answer it leaves."""
         self._announcements.apply_leaving_answer(identity)
+        self._leaves.begin_write(self._announcements.last_leave)
+        self._install_backend()
+
+    def _apply_leaves(self, leaves):
+        """Apply the leaves that earlier processes of this daemon have recorded."""
+        self._announcements.restore_leaves(leaves)
         self._install_backend()
 
+    def _knows_leaves(self):
+        """Return whether a heartbeat can be told from one that was sent before a leave.
+
+        While the store is away, what other daemons know has to do.
+        """
+        if not self._followed_instances.copy.is_initialized:
+            return False
+        waited = asyncio.get_running_loop().time() - self._started_at
+        return self._leaves.is_read or waited >= LEAVES_WAIT
+
+    def _install_deferred(self):
+        if self._is_install_deferred:
+            self._install_backend()
+
     def _install_backend(self):
         self._route_callers()
-        if not self._followed_instances.copy.is_initialized:
-            # The record of this daemon's previous run may say that the backend server
-            # leaves. Without it, a request could reach one that has said so.
+        if not self._knows_leaves():
+            # The backend server may have told an earlier process that it leaves, and a
+            # request could reach it after it was promised that none does.
             self._is_install_deferred = True
             return
         self._is_install_deferred = False
@@ -392,12 +443,19 @@
             self.instance.record_endpoint(record.key, endpoint)
             is_own = record.key == self.instance.location.address
             if is_own and endpoint is not None and endpoint.leaving_backend:
-                self._announcements.apply_leaving_answer(endpoint.leaving_backend)
-                self._route_callers()
-        if self._is_install_deferred:
-            self._install_backend()
+                self._suspect_leave(endpoint.leaving_backend)
+        self._install_deferred()
         self._records.note_change()
 
+    def _suspect_leave(self, identity):
+        """Apply that this daemon's record, as others know it, names a leave."""
+        if not self._leaves.is_read:
+            self._announcements.suspect_leave(identity)
+            self._route_callers()
+
+    def _is_first_reader(self):
+        return self.instance.is_reader() and self.instance.reader_rank == 0
+
     def _apply_crash(self, record):
         history = self.instance.crash_history
         if not record.value:
