Keep the answer to non-idempotent work whose caller is away while it runs

The gatekeeper runs such work to its end whether or not it is cancelled, so cancelling its record saved nothing. It is kept now; the caller that comes back sends the call again and gets the answer. Calls that wait for a slot, and work that may be repeated, are cancelled as before: a new test guards that.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -84,6 +84,7 @@
 class LinksTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.ran = []
+        self.at_work = set()
         self.cancelled = []
         self.hold = asyncio.Event()
         self.hold.set()
@@ -106,6 +107,7 @@
             self.answer_gossip,
             self.admits,
             handle_relayed=lambda *report: self.levels.append(report),
+            is_at_work=lambda attempt: attempt in self.at_work,
         )
         self.called.news = frames.News(Endpoint("x", "x", "s"))
         self.port = await self.called.listen("127.0.0.1", port)
@@ -258,6 +260,7 @@
         payout = build_request(1, 2.0)._replace(repeatable=False)
         call = asyncio.create_task(self.peer.call(payout))
         await self.wait_until(lambda: self.ran)
+        self.at_work.update(self.ran)
         with (
             unittest.mock.patch.object(self.peer, "connect"),
             unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0),
@@ -271,6 +274,21 @@
         self.assertIs(answer.outcome, Outcome.COMPLETED)
         self.assertEqual(self.ran, ["a1"])
 
+    async def test_work_of_an_absent_caller_that_has_not_begun_is_cancelled(self):
+        """Guards against slots that are used for work that nobody waits for."""
+        self.hold.clear()
+        payout = build_request(1, 2.0)._replace(repeatable=False)
+        call = asyncio.create_task(self.peer.call(payout))
+        await self.wait_until(lambda: self.ran)
+        with (
+            unittest.mock.patch.object(self.peer, "connect"),
+            unittest.mock.patch.object(links, "RESUME_TIMEOUT", 60.0),
+            unittest.mock.patch.object(exchange, "CALLER_ABSENCE_SECONDS", 0.0),
+        ):
+            self.abort_sessions()
+            await self.wait_until(lambda: self.cancelled)
+        call.cancel()
+
     async def test_absent_caller_is_forgotten_after_its_deadlines(self):
         """Guards against memory that grows with each daemon that ever called."""
         await self.peer.call(build_request(1, 0.3))
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -166,7 +166,8 @@
         self._named_limit = namedlimits.NamedLimit()
         self.backend = None
         self.is_stopping = False
-        self.running = 0
+        # Identifiers of the attempts that are running.
+        self._at_work = set()
         self.refused = collections.Counter()
 
     def install(self, backend):
@@ -196,6 +197,15 @@
         """Return the `messages.Load` of the backend server as the gate observes it."""
         return self._slots.load(request)
 
+    @property
+    def running(self):
+        """Number of attempts that are running."""
+        return len(self._at_work)
+
+    def is_at_work(self, attempt):
+        """Return whether the attempt with an identifier is running."""
+        return attempt in self._at_work
+
     @property
     def connection_counts(self):
         """The `http1.client.PoolCounts` of the connections to the backend server."""
@@ -343,7 +353,7 @@
 
     async def _run(self, request):
         started = self._loop.time()
-        self.running += 1
+        self._at_work.add(request.attempt)
         # The timeout is sent in whole milliseconds, so the deadline of the backend
         # server's own calls is rounded down in the same way.
         sent_timeout = int((request.deadline - started) * 1000.0) / 1000.0
@@ -364,7 +374,7 @@
         try:
             answer = await self._forward(request)
         finally:
-            self.running -= 1
+            self._at_work.discard(request.attempt)
             if request.again and answer is not None and _is_unsent(answer):
                 self._repeat_budget.refund(self._loop.time())
             answered = answer is not None and answer.outcome is not Outcome.UNKNOWN
--- a/whinwinch/daemons/exchange.py
+++ b/whinwinch/daemons/exchange.py
@@ -12,7 +12,7 @@
 
 from absl import logging
 
-from .. import background
+from .. import background, messages
 from . import frames, traffic
 
 # Callers fail their pending calls 0.8 s after losing a connection, and may take a few
@@ -22,7 +22,7 @@
 # take 2.4 MB within the retention time; only large replies reach the bound.
 MAX_RETAINED_BYTES = 16 << 20
 # A caller that has been disconnected for this long is considered gone. Nobody waits
-# for its calls any more, so they are cancelled.
+# for its calls any more, so those that have not begun or may be repeated are cancelled.
 CALLER_ABSENCE_SECONDS = 1.0
 CLEANUP_INTERVAL_SECONDS = 0.25
 # Messages that daemons send to a relay, relays to each other, and, of crashes, callers
@@ -37,6 +37,13 @@
 )
 
 
+class RunningCall(NamedTuple):
+    """A call that is being served: its `messages.Request` and its task."""
+
+    request: messages.Request
+    task: asyncio.Task
+
+
 class FinishedCall(NamedTuple):
     """A call that has finished.
 
@@ -158,6 +165,8 @@
         handle_relayed: Function called with the address of a daemon and a received
             frame of `RELAYED_KINDS`.
         sent_traffic: `traffic.Traffic` that counts the messages sent.
+        is_at_work: Function from the identifier of an attempt to whether the backend
+            server is running it.
     """
 
     def __init__(
@@ -171,6 +180,7 @@
         handle_hello=lambda reply, hello: None,
         handle_relayed=lambda address, frame: None,
         sent_traffic=None,
+        is_at_work=lambda attempt: False,
     ):
         self._loop = asyncio.get_running_loop()
         self.traffic = sent_traffic or traffic.Traffic()
@@ -181,6 +191,7 @@
         self.handle_topic = handle_topic
         self.handle_hello = handle_hello
         self.handle_relayed = handle_relayed
+        self._is_at_work = is_at_work
         self._background = background.Background()
         self._callers = {}
         self._listener = None
@@ -235,7 +246,7 @@
             self._send_reply(caller, frames.encode_frame(reply))
         else:
             task = self._loop.create_task(self._run(caller, call))
-            caller.running[number] = task
+            caller.running[number] = RunningCall(call.request, task)
 
     def cancel(self, caller, number):
         """Cancel an attempt whose reply is no longer needed.
@@ -244,9 +255,9 @@
         delayed connection may deliver the attempt after its cancellation. A task that
         is cancelled before it has started never runs, so the attempt is removed here.
         """
-        task = caller.running.pop(number, None)
-        if task is not None:
-            task.cancel()
+        running = caller.running.pop(number, None)
+        if running is not None:
+            running.task.cancel()
         caller.done.setdefault(number, FinishedCall(b"", self._loop.time()))
 
     def check_token(self, token):
@@ -330,14 +341,23 @@
                 caller.last_forgotten = max(caller.last_forgotten, number)
                 self._retained_bytes -= len(done.data)
             if caller.session is None and now - caller.lost > CALLER_ABSENCE_SECONDS:
-                for number in tuple(caller.running):
-                    self.cancel(caller, number)
+                self._cancel_unneeded(caller)
                 # A frozen caller may send its calls again up to their deadlines, and
                 # only this record shows that they may have run.
                 is_idle = not caller.done and not caller.running
                 if is_idle and now > caller.last_deadline:
                     del self._callers[daemon]
 
+    def _cancel_unneeded(self, caller):
+        """Cancel the calls of an absent caller, but for work that it may not repeat.
+
+        That goes on in any case, and the caller may come back for its answer.
+        """
+        for number, running in tuple(caller.running.items()):
+            request = running.request
+            if request.repeatable or not self._is_at_work(request.attempt):
+                self.cancel(caller, number)
+
     def _is_expired(self, done, now):
         return (
             now - done.time > REPLY_RETENTION_SECONDS
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -159,6 +159,7 @@
             handle_hello=self._handle_hello,
             handle_relayed=self._apply_relayed,
             sent_traffic=self.traffic,
+            is_at_work=self.guard.is_at_work,
         )
         self.topics = topics.Topics(self._broadcast)
         self._relays = relays.Relays(
