Tell a late second answer from the next one on the product's own interface

Requests carry `Whinwinch-Attempt`, new for each send, and backend servers send it back. `X-Request-Id` can't serve: backend servers may set it as they like.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -107,7 +107,7 @@
         reply = answer(environ)
         length = ("Content-Length", str(len(reply.body)))
         status = f"{reply.status} {REASONS.get(reply.status, 'Other')}"
-        start_response(status, [*reply.headers, length])
+        start_response(status, [*reply.headers, *_echo_attempt(environ), length])
         if reply.part is None:
             return [reply.body]
         return _send_part(reply.body[: reply.part])
@@ -115,6 +115,12 @@
     return serve
 
 
+def _echo_attempt(environ):
+    """Return the header by which a daemon tells answers of a connection apart."""
+    attempt = environ.get("HTTP_WHINWINCH_ATTEMPT")
+    return [("Whinwinch-Attempt", attempt)] if attempt else []
+
+
 def _send_part(body):
     yield body
     break_connection()
--- a/test/backends/rawservers.py
+++ b/test/backends/rawservers.py
@@ -21,6 +21,17 @@
     return "\r\n".join((*lines, "", "")).encode() + body
 
 
+def build_attempt_response(attempt, body):
+    """Return the bytes of an answer on the product's own interface.
+
+    Args:
+        attempt: Identifier of the attempt, "" for an answer that doesn't name it.
+        body: Body of the answer.
+    """
+    more = (f"Whinwinch-Attempt: {attempt}",) if attempt else ()
+    return build_response(200, "", *more, body=body)
+
+
 def build_refusal(identifier):
     """Return the bytes of a response that says that a request has not run."""
     return build_response(503, identifier, "X-Not-Executed: 1")
