--- a/test/emulator/test_late_work.py
+++ b/test/emulator/test_late_work.py
@@ -108,3 +108,26 @@
         await self.send_during_stop(QUICK)
         seconds = asyncio.get_running_loop().time() - self.stopped_at
         self.assertLess(seconds, SLOW_SECONDS)
+
+    async def test_request_that_is_received_in_part_is_answered(self):
+        """Guards against a stop that ends while a request is still being sent."""
+        host, _, port = self.member.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(f"GET {QUICK_PATH} HTTP/1.1\r\nHost: {HOST}\r\n".encode())
+        await asyncio.sleep(callerdrain.ROUTING_SECONDS + 0.3)
+        self.assertFalse(self.member.task.done())
+        writer.write(b"X-Request-Id: part\r\nX-Deadline-Ms: 8000\r\n\r\n")
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        self.assertRegex(answer, rb"^HTTP/1.1 (200|503) ")
+        self.assertIn(b"\r\nConnection: close\r\n", answer)
+
+    async def test_second_signal_changes_nothing(self):
+        """Guards against work cut off by a platform that sends its signal again."""
+        slow = asyncio.create_task(self.send(SLOW))
+        for _ in range(2):
+            await asyncio.sleep(1.0)
+            self.member.node.stop()
+        result = await slow
+        self.assertTrue(result.whole, result)
