--- a/test/emulator/test_leaves.py
+++ b/test/emulator/test_leaves.py
@@ -5,7 +5,7 @@
 import unittest
 
 from emulator import backend, caller, mesh, samplemesh, store
-from whinwinch.platform import leaverecords, node
+from whinwinch.platform import leaverecords, localbackend
 
 READ_PATH = "/read/"
 READ = caller.Kind("r.example", READ_PATH, "GET", 3.0, 1.0, retries=0)
@@ -53,7 +53,7 @@
     async def send_late_heartbeat(self):
         """Let the heartbeat arrive and wait until the daemon would believe it."""
         await self.backend.send_report("PUT", self.build_late_heartbeat())
-        await asyncio.sleep(node.LEAVES_WAIT)
+        await asyncio.sleep(localbackend.LEAVES_WAIT)
 
     async def assert_gets_no_work(self):
         """Send requests through both daemons; none may reach the backend server."""
@@ -143,7 +143,7 @@
         instance = self.member.node.instance
         await self.mesh.wait_until(lambda: instance.table.version)
         await self.backend.announce()
-        await asyncio.sleep(node.LEAVES_WAIT)
+        await asyncio.sleep(localbackend.LEAVES_WAIT)
         self.assertTrue(instance.guard.has_free_slot("reads"))
         await self.assert_serves(self.member)
 
@@ -165,5 +165,5 @@
 
     async def test_identifier_that_no_record_can_hold_is_refused(self):
         """Guards against an error in the middle of an acknowledgement."""
-        self.backend.identity = "i" * (node.MAX_IDENTIFIER_BYTES + 1)
+        self.backend.identity = "i" * (localbackend.MAX_IDENTIFIER_BYTES + 1)
         self.assertEqual(await self.backend.announce(), 400)
--- a/test/emulator/test_stops.py
+++ b/test/emulator/test_stops.py
@@ -4,7 +4,7 @@
 import unittest
 
 from emulator import backend, caller, mesh, samplemesh
-from whinwinch.platform.node import HEARTBEAT_WAIT
+from whinwinch.platform.localbackend import HEARTBEAT_WAIT
 
 READ_PATH = "/read/"
 READ = caller.Kind("r.example", READ_PATH, "GET", 3.0, 1.0, retries=0)
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import math
 import signal
 from typing import NamedTuple
 from urllib.parse import urlsplit
@@ -10,8 +9,7 @@
 from absl import logging
 
 from .. import events, gauges, messages, shutdown
-from ..announcements import Announcements, State
-from ..backends.guard import Backend, Dialect
+from ..backends.guard import Dialect
 from ..errors import InputErrors, UserError
 from ..http1.messages import HttpResponse
 from ..http1.server import Limits, Server
@@ -22,8 +20,7 @@
     configuration,
     dialect,
     followers,
-    heartbeats,
-    leaverecords,
+    localbackend,
     records,
     settings,
 )
@@ -34,7 +31,6 @@
 CONFIGURATION_KEY = "config"
 READINESS_PATH = "/whinwinch/ready"
 METRICS_PATH = "/metrics"
-ANNOUNCEMENT_PREFIX = "/whinwinch/instances/"
 # Seconds without a report from peers after which a daemon reads the configuration
 # itself. A new configuration has to be applied within two seconds.
 CONFIGURATION_READ_TIMEOUT = 1.3
@@ -51,16 +47,6 @@
 SETTINGS_CHECK_INTERVAL = 1.0
 # Retry delay in seconds of a refusal before the configuration has been read.
 NOT_READY_RETRY_AFTER = 0.5
-# Seconds after the start in which a backend server that runs sends its next heartbeat.
-HEARTBEAT_WAIT = 2.0
-# Seconds after the start in which the records of leaves are read before a heartbeat is
-# believed. If the store is away for longer, the backend server would serve nobody.
-LEAVES_WAIT = 2.0
-# Seconds that the acknowledgement of a leave waits for its record. A backend server
-# takes no answer after one second.
-LEAVE_RECORD_WAIT = 0.8
-# Longest identifier of a backend server in bytes: the store's keys have 255 at most.
-MAX_IDENTIFIER_BYTES = 200
 # Seconds before a task that was ended by an unexpected error is restarted.
 TASK_RESTART_DELAY = 0.5
 
@@ -100,9 +86,7 @@
     def __init__(self, instance_settings):
         self._settings = instance_settings
         self._store = Store(instance_settings.store)
-        self._announcements = Announcements()
-        # Whether the backend server is to be installed once the records are read.
-        self._is_install_deferred = False
+        self._stopping = asyncio.Event()
         self.instance = Instance(
             Location(
                 str(instance_settings.daemons),
@@ -130,18 +114,20 @@
         self._records = RecordKeeper(
             self._store, self.instance, self._followed_instances
         )
-        self._leaves = leaverecords.LeaveRecords(
-            self._store, self.instance.location.address, self._apply_leaves
+        self._backend = localbackend.LocalBackend(
+            self._store,
+            self.instance,
+            lambda: self._settings.service,
+            lambda: self._followed_instances.copy.is_initialized,
+            self._records.note_change,
+            self._stopping.is_set,
         )
         limits = Limits()
         self._callers = Server(self._answer_call, limits)
         self._readiness = Server(self._answer_readiness, limits)
-        self._control = Server(self._answer_announcement, limits)
+        self._control = Server(self._backend.answer_report, limits)
         self._metrics_page = Server(self._answer_metrics, limits)
         self._metrics = Metrics(self._list_gauges, "route")
-        # Time of the loop's clock at which the daemon began to serve.
-        self._started_at = math.inf
-        self._stopping = asyncio.Event()
 
     async def run(self):
         """Serve until the process is signalled to stop."""
@@ -173,16 +159,14 @@
         others = (self._control, self._readiness, self._metrics_page)
         for server in (self._callers, *others):
             server.abort()
-        self._leaves.close()
+        self._backend.close()
         self.instance.close()
         self._store.close()
 
     async def serve(self):
         """Run the daemon's tasks until `stop` is called, then stop as planned."""
         initial, loop = self._settings, asyncio.get_running_loop()
-        self._started_at = loop.time()
-        waiting = loop.call_later(HEARTBEAT_WAIT, self._route_callers)
-        believing = loop.call_later(LEAVES_WAIT, self._install_deferred)
+        self._backend.begin()
         tasks = [loop.create_task(keep_running(work)) for work in self._list_work()]
         try:
             await self._stopping.wait()
@@ -190,9 +174,6 @@
             for task in tasks:
                 task.cancel()
             raise
-        finally:
-            waiting.cancel()
-            believing.cancel()
 
         await shutdown.stop(
             self.instance, (self._callers,), initial.stop_grace, self._records.withdraw
@@ -224,7 +205,7 @@
                 INSTANCES_BATCH_DELAY,
             ),
             *self._records.list_work(),
-            functools.partial(self._leaves.maintain, self._is_first_reader),
+            functools.partial(self._backend.maintain_leaves, self._is_first_reader),
             self._watch_settings,
             instance.peers.check_periodically,
             instance.exchange.clean_up_periodically,
@@ -309,111 +290,8 @@
             for outcome, count in calls
         ]
 
-    async def _answer_announcement(self, http, sender):
-        """Apply a heartbeat or a leave request of the local backend server."""
-        path = urlsplit(http.target).path
-        identity = path.removeprefix(ANNOUNCEMENT_PREFIX)
-        if identity == path or not identity or "/" in identity:
-            return HttpResponse(404, "Not Found")
-        try:
-            if len(identity) > MAX_IDENTIFIER_BYTES:
-                raise ValueError("the identifier is too long")
-            if http.method == "PUT":
-                self._apply_heartbeat(heartbeats.parse_heartbeat(identity, http.body))
-            elif http.method == "DELETE":
-                start_time_ms = heartbeats.parse_start(http.body)
-                self._announcements.apply_leave(identity, start_time_ms)
-                self._install_backend()
-            else:
-                return HttpResponse(405, "Method Not Allowed")
-        except (InputErrors, ValueError) as error:
-            events.write("heartbeat-unread", events.Message(f"{identity}: {error}"))
-            return HttpResponse(400, "Bad Request")
-        leave = self._announcements.last_leave
-        if leave is not None and leave.identity == identity:
-            if not await self._leaves.write(leave, LEAVE_RECORD_WAIT):
-                # A successor of this process would know nothing of the leave.
-                events.write("leave-unacknowledged", events.Message(identity))
-                return HttpResponse(503, "Not Recorded")
-        return HttpResponse(200, "OK", (("Content-Type", "application/json"),), b"{}")
-
-    def _apply_heartbeat(self, announcement):
-        current = self._settings
-        if announcement.service != current.service:
-            raise ValueError(
-                f"service is {announcement.service}, must be {current.service}"
-            )
-        problem = self._announcements.apply(announcement)
-        if problem:
-            events.write(
-                "heartbeat-passed-over",
-                events.Message(f"{announcement.identity}: {problem}"),
-            )
-        self._install_backend()
-
     def _handle_leave(self, identity):
-        """Give no new work to a backend server that says in an answer it leaves."""
-        self._announcements.apply_leaving_answer(identity)
-        self._leaves.begin_write(self._announcements.last_leave)
-        self._install_backend()
-
-    def _apply_leaves(self, leaves):
-        """Apply the leaves that earlier processes of this daemon have recorded."""
-        self._announcements.restore_leaves(leaves)
-        self._install_backend()
-
-    def _knows_leaves(self):
-        """Return whether a heartbeat can be told from one that was sent before a leave.
-
-        While the store is away, what other daemons know has to do.
-        """
-        if not self._followed_instances.copy.is_initialized:
-            return False
-        waited = asyncio.get_running_loop().time() - self._started_at
-        return self._leaves.is_read or waited >= LEAVES_WAIT
-
-    def _install_deferred(self):
-        if self._is_install_deferred:
-            self._install_backend()
-
-    def _install_backend(self):
-        self._route_callers()
-        if not self._knows_leaves():
-            # The backend server may have told an earlier process that it leaves, and a
-            # request could reach it after it was promised that none does.
-            self._is_install_deferred = True
-            return
-        self._is_install_deferred = False
-        newest = self._announcements.newest
-        if newest is None:
-            self.instance.install_backend(None)
-        else:
-            self.instance.install_backend(
-                Backend(
-                    newest.identity,
-                    newest.service,
-                    newest.slots,
-                    newest.state is State.LEAVING,
-                    newest.start_time_ms,
-                )
-            )
-        self._records.note_change()
-
-    def _route_callers(self):
-        """Route callers to other daemons while the backend server leaves or is missing.
-
-        The instance, and this daemon with it, is removed soon after the backend server
-        has left; where that was before this process started, no heartbeat comes.
-        Callers are let in once a backend server announces itself.
-        """
-        drain, now = self.instance.caller_drain, asyncio.get_running_loop().time()
-        has_waited = now - self._started_at >= HEARTBEAT_WAIT
-        is_missing = has_waited and self._announcements.newest is None
-        if self._announcements.is_backend_leaving or is_missing:
-            if drain.begin(now):
-                events.write("callers", events.Message("routed to other daemons"))
-        elif not self._stopping.is_set() and drain.cancel():
-            events.write("callers", events.Message("let in again"))
+        self._backend.handle_leave(identity)
 
     def _apply_configuration(self, changed):
         for record in changed:
@@ -443,16 +321,10 @@
             self.instance.record_endpoint(record.key, endpoint)
             is_own = record.key == self.instance.location.address
             if is_own and endpoint is not None and endpoint.leaving_backend:
-                self._suspect_leave(endpoint.leaving_backend)
-        self._install_deferred()
+                self._backend.suspect_leave(endpoint.leaving_backend)
+        self._backend.install_deferred()
         self._records.note_change()
 
-    def _suspect_leave(self, identity):
-        """Apply that this daemon's record, as others know it, names a leave."""
-        if not self._leaves.is_read:
-            self._announcements.suspect_leave(identity)
-            self._route_callers()
-
     def _is_first_reader(self):
         return self.instance.is_reader() and self.instance.reader_rank == 0
 
