Take the identifier of an attempt from no caller

Found in reading the change once more: a caller that sends Whinwinch-Attempt itself would have had two of them reach the backend server, which sends back the first, so the answer to its own request was dropped until the deadline. The daemon's headers are dropped from callers' requests; this one joins them. The test failed before.

--- a/test/callers/test_headers.py
+++ b/test/callers/test_headers.py
@@ -42,6 +42,13 @@
                 self.assertEqual(importance, parsed.incoming.importance)
                 self.assertFalse(parsed.findings)
 
+    def test_headers_that_the_daemon_sets_are_not_taken_from_callers(self):
+        """Guards against answers dropped for an identifier that a caller made up."""
+        names = ("Whinwinch-Attempt", "Whinwinch-Root", "Whinwinch-Timeout")
+        parsed = parse("/services/catalog/x", *((name, "1") for name in names))
+        passed = {name.lower() for name, _ in parsed.incoming.headers}
+        self.assertFalse(passed.intersection(name.lower() for name in names))
+
     def test_all_findings_are_reported_at_once(self):
         parsed = parse(
             "/services/../x",
--- a/whinwinch/callers/headers.py
+++ b/whinwinch/callers/headers.py
@@ -33,6 +33,7 @@
     {
         "host",
         "idempotency-key",
+        "whinwinch-attempt",
         "whinwinch-root",
         "whinwinch-timeout",
         "x-request-id",
