--- a/whinwinch/platform/leaverecords.py
+++ b/whinwinch/platform/leaverecords.py
@@ -6,8 +6,8 @@
 backend server exits. So a leave is acknowledged once it is recorded in the store, and
 a daemon that starts reads the records before it believes a heartbeat.
 
-Each leave has a key of its own: a write that the store executes late, after its answer
-was lost, changes nothing.
+Each backend server has a key of its own: a write that the store executes late, after
+its answer was lost, changes no other's.
 """
 
 import asyncio
