--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -135,7 +135,7 @@
         # Crashes of the local backend server that are to be written to the log.
         self.crash_records = asyncio.Queue()
         self.stop_window = stopwindow.StopWindow()
-        # Seconds from the arrival of callers' requests to their answers, by route.
+        # Seconds from the arrival of requests and calls to their answers, by route.
         self._durations = stopwindow.RecentDurations()
         self.guard = Guard(
             backend_address,
