Let the stop window judge requests, in one place for entry and gatekeeper

The same three lines stood in instance.py and guard.py: open, how long such requests take at most, accepted. No decision changes; a test for what little is known of joins those of the window.

--- a/test/test_stopwindow.py
+++ b/test/test_stopwindow.py
@@ -48,12 +48,6 @@
         self.durations.record("s", SHORT_SECONDS)
         self.assertEqual(self.durations.find_longest_of_all(), LONG_SECONDS)
 
-    def test_duration_is_limited_by_the_deadline(self):
-        """Guards against refusing work of an unknown kind that must end soon."""
-        request = requests.build("a", deadline=NOW + SHORT_SECONDS)
-        seconds = stopwindow.limit_duration(self.durations, request, NOW)
-        self.assertAlmostEqual(seconds, SHORT_SECONDS)
-
 
 class StopWindowTest(unittest.TestCase):
     def setUp(self):
@@ -62,6 +56,18 @@
     def test_everything_is_accepted_before_the_stop(self):
         self.assertTrue(self.window.try_accept(NOW, math.inf))
 
+    def test_request_of_an_unknown_kind_is_judged_by_its_deadline(self):
+        """Guards against refusing, or cutting off, work of which little is known."""
+        durations = stopwindow.RecentDurations()
+        short = requests.build("a", deadline=NOW + SHORT_SECONDS)
+        long = requests.build("b", deadline=UNTIL + SHORT_SECONDS)
+        self.assertTrue(self.window.try_accept_request(long, durations, NOW))
+        self.window.begin(NOW, UNTIL, 0.0)
+        self.assertTrue(self.window.try_accept_request(short, durations, NOW))
+        self.assertFalse(self.window.try_accept_request(long, durations, NOW))
+        record_known(durations, long.call, SHORT_SECONDS)
+        self.assertTrue(self.window.try_accept_request(long, durations, NOW))
+
     def test_work_that_ends_after_the_stop_is_refused(self):
         """Guards against work that is cut off while a backend server runs it."""
         self.window.begin(NOW, UNTIL, 0.0)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -335,10 +335,9 @@
         now = self._loop.time()
         if request.deadline <= now:
             return Reason.DEADLINE
-        if self._stop_window.is_open:
+        if self._stop_window.try_accept_request(request, self._durations, now):
             return None
-        seconds = stopwindow.limit_duration(self._durations, request, now)
-        return None if self._stop_window.try_accept(now, seconds) else Reason.LEAVING
+        return Reason.LEAVING
 
     async def _run_admitted(self, request):
         """Run an admitted attempt, to its end if it can't be repeated.
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -307,25 +307,17 @@
 
     async def _serve_root(self, request, route):
         """Serve a caller's request within the quota of its workspace."""
-        if not self._may_end_in_time(request):
-            return self._refuse_while_stopping(request)
-        if not self.ledger.try_spend(request, self._loop.time()):
+        now = self._loop.time()
+        if not self.stop_window.try_accept_request(request, self._durations, now):
+            return self._refuse_while_stopping(request, now)
+        if not self.ledger.try_spend(request, now):
             return self._refuse_beyond_quota(request)
         answer = await self.forwarder.serve(request, route.max_endpoints)
         if answer.outcome is Outcome.NOT_RUN:
             self.ledger.refund(request, self._loop.time())
         return answer
 
-    def _may_end_in_time(self, request):
-        """Return whether a request is accepted, which it is unless the daemon stops."""
-        if self.stop_window.is_open:
-            return True
-        now = self._loop.time()
-        seconds = stopwindow.limit_duration(self._durations, request, now)
-        return self.stop_window.try_accept(now, seconds)
-
-    def _refuse_while_stopping(self, request):
-        now = self._loop.time()
+    def _refuse_while_stopping(self, request, now):
         seconds = self.stop_window.find_retry_after(now, request.attempt)
         return self.forwarder.refuse(request, Reason.LEAVING, seconds)
 
--- a/whinwinch/stopwindow.py
+++ b/whinwinch/stopwindow.py
@@ -88,6 +88,19 @@
         """Accept only work that ends before what has been accepted so far."""
         self._is_closing = True
 
+    def try_accept_request(self, request, durations, now):
+        """Accept a request if it will be answered in time; return whether it is.
+
+        Args:
+            request: `messages.Request`, which is answered by its deadline in any case.
+            durations: `RecentDurations` of such requests.
+            now: Event loop time, in seconds.
+        """
+        if self.is_open:
+            return True
+        longest = durations.find_longest(request.call)
+        return self.try_accept(now, min(longest, request.deadline - now))
+
     def try_accept(self, now, seconds):
         """Accept work if it will end in time; return whether it is accepted.
 
@@ -114,14 +127,3 @@
         end = self._last_end if self._is_closing else self._until
         spread = messages.hash_root("return:" + spread_key)
         return max(end - now, 0.0) + RETURN_SECONDS * (1.0 + spread)
-
-
-def limit_duration(durations, request, now):
-    """Return the seconds that a request will probably take at most.
-
-    Args:
-        durations: `RecentDurations` of such requests.
-        request: `messages.Request`, which is answered by its deadline in any case.
-        now: Event loop time, in seconds.
-    """
-    return min(durations.find_longest(request.call), request.deadline - now)
