Keep leaves among the instances' records, which a daemon reads at its start anyway

Leaves are records under `leave/` in keyed.instances now. The daemon's own read of that topic, which it makes to find the others, counts as the read of the leaves; only where another daemon's copy came first does it read the topic once more. A test: no call of its own where the topic has been read.

--- a/test/emulator/test_leaves.py
+++ b/test/emulator/test_leaves.py
@@ -5,7 +5,9 @@
 import unittest
 
 from emulator import backend, caller, mesh, samplemesh, store
-from whinwinch.platform import leaverecords, localbackend
+from whinwinch.platform import localbackend
+from whinwinch.platform.recordkeeping import INSTANCES_TOPIC
+from whinwinch.platform.records import LEAVE_PREFIX
 
 READ_PATH = "/read/"
 READ = caller.Kind("r.example", READ_PATH, "GET", 3.0, 1.0, retries=0)
@@ -71,7 +73,8 @@
         self.assertTrue(all(result.whole for result in results), results)
 
     def list_recorded(self):
-        return list(self.mesh.store.find(leaverecords.LEAVES_TOPIC).newest)
+        keys = self.mesh.store.find(INSTANCES_TOPIC).newest
+        return [key for key in keys if key.startswith(LEAVE_PREFIX)]
 
     async def test_kill_right_after_a_delete_does_not_bring_work_back(self):
         """Guards against requests lost at a backend server that counts as gone."""
--- a/test/platform/test_leaverecords.py
+++ b/test/platform/test_leaverecords.py
@@ -7,7 +7,10 @@
 
 from emulator import store as emulated
 from whinwinch.announcements import Leave
+from whinwinch.logservice import keyed
 from whinwinch.platform import leaverecords
+from whinwinch.platform.recordkeeping import INSTANCES_TOPIC
+from whinwinch.platform.records import LEAVE_PREFIX
 from whinwinch.platform.store import Store
 from whinwinch.settings import Address
 
@@ -32,7 +35,9 @@
         await asyncio.sleep(0.02)
 
     def build(self, address=ADDRESS):
-        records = leaverecords.LeaveRecords(self.store, address, self.applied.append)
+        records = leaverecords.LeaveRecords(
+            self.store, address, self.applied.append, lambda: True
+        )
         self.addCleanup(records.close)
         return records
 
@@ -47,7 +52,7 @@
 
     @property
     def keys(self):
-        return set(self.emulated.find(leaverecords.LEAVES_TOPIC).newest)
+        return set(self.emulated.find(INSTANCES_TOPIC).newest)
 
     async def test_successor_reads_what_was_written(self):
         """Guards against a leave that ends with the process."""
@@ -99,11 +104,27 @@
     async def test_record_of_another_writer_is_passed_over(self):
         """Guards against a daemon that serves nobody for an unreadable record."""
         for number, value in enumerate((b"\xff", b"[]", b"{}", b'{"identity": 7}')):
-            key = f"{ADDRESS}/bad-{number}"
-            self.emulated.put(leaverecords.LEAVES_TOPIC, key, value)
+            key = f"{LEAVE_PREFIX}{ADDRESS}/bad-{number}"
+            self.emulated.put(INSTANCES_TOPIC, key, value)
         bad_start = json.dumps({"identity": "i", "start_time_ms": "1"}).encode()
-        self.emulated.put(leaverecords.LEAVES_TOPIC, f"{ADDRESS}/bad", bad_start)
+        self.emulated.put(INSTANCES_TOPIC, f"{LEAVE_PREFIX}{ADDRESS}/bad", bad_start)
         await self.build().write(LEAVE, 1.0)
         self.maintain(self.build())
         await self.wait_until(lambda: self.applied)
         self.assertEqual(self.applied, [(LEAVE,)])
+
+    async def test_read_of_the_whole_topic_saves_a_read_of_the_leaves(self):
+        """Guards against another call to the store at each start of a daemon."""
+        records = leaverecords.LeaveRecords(
+            self.store, ADDRESS, self.applied.append, lambda: False
+        )
+        self.maintain(records)
+        key = f"{LEAVE_PREFIX}{ADDRESS}/i-1"
+        value = json.dumps(LEAVE._asdict()).encode()
+        records.apply_records((keyed.Record(key, value), keyed.Record("h:1", b"{}")))
+        self.assertFalse(records.is_read)
+        self.assertEqual(self.applied, [(LEAVE,)])
+        records.note_read()
+        await asyncio.sleep(2 * leaverecords.READ_CHECK_INTERVAL)
+        self.assertTrue(records.is_read)
+        self.assertEqual(self.emulated.calls, [])
--- a/test/platform/test_localbackend.py
+++ b/test/platform/test_localbackend.py
@@ -101,7 +101,7 @@
         self.assertTrue(self.installed[-1].leaving)
         self.assertTrue(self.drain.is_active)
         self.emulated.faults = emulated.Faults()
-        await self.wait_until(lambda: self.emulated.find("keyed.leaves").newest)
+        await self.wait_until(lambda: self.emulated.find("keyed.instances").newest)
         self.assertEqual(await self.report("DELETE"), 200)
         self.assertIsNone(self.installed[-1])
 
--- a/whinwinch/platform/leaverecords.py
+++ b/whinwinch/platform/leaverecords.py
@@ -17,11 +17,14 @@
 from .. import background, events
 from ..announcements import Leave
 from ..logservice import keyed
+from .recordkeeping import INSTANCES_TOPIC
+from .records import LEAVE_PREFIX
 from .store import StoreError
 
-LEAVES_TOPIC = "keyed.leaves"
 # Seconds before another attempt to write or read.
 RETRY_DELAY = 0.4
+# Seconds between two checks whether the records have been read.
+READ_CHECK_INTERVAL = 0.1
 # Seconds between two searches for old records. A record is deleted by the second one
 # that finds it: no heartbeat is that late.
 CLEANUP_INTERVAL = 600.0
@@ -59,16 +62,21 @@
     Args:
         store: `store.Store`.
         address: Address of the daemon, which its successor has too.
-        apply: Function called with all `announcements.Leave` tuples that were read.
+        apply: Function called with `announcements.Leave` tuples that were read.
+        has_records: Function that returns whether this daemon has a copy of the topic,
+            which may be older than the topic.
 
     Attributes:
         is_read: Whether they have been read.
     """
 
-    def __init__(self, store, address, apply):
+    def __init__(self, store, address, apply, has_records):
         self._store = store
         self._address = address
         self._apply = apply
+        self._has_records = has_records
+        # Leaves of this daemon's backend servers that earlier processes recorded.
+        self._known = ()
         self._background = background.Background()
         # Tasks that write a leave, also those that are done.
         self._writes = {}
@@ -96,8 +104,11 @@
         Args:
             is_cleaner: Function that returns whether this daemon deletes old records.
         """
-        while not await self._try_read():
-            await asyncio.sleep(RETRY_DELAY)
+        while not self.is_read:
+            # The daemon reads the topic in any case, unless others were faster.
+            if self._has_records():
+                await self._read()
+            await asyncio.sleep(READ_CHECK_INTERVAL)
         before = frozenset()
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL)
@@ -109,19 +120,34 @@
         for task in self._writes.values():
             task.cancel()
 
-    async def _try_read(self):
-        """Read and apply this daemon's leaves; return whether that succeeded."""
+    def apply_records(self, changed):
+        """Apply this daemon's leaves among changed records of the topic.
+
+        Other daemons may have handed them on, so there may be newer ones.
+        """
+        leaves = _list_leaves(changed, self._address)
+        if leaves:
+            self._known += leaves
+            self._apply(leaves)
+
+    def note_read(self):
+        """Note that this process has read the topic from the store and applied it."""
+        if self.is_read:
+            return
+        self.is_read = True
+        identities = tuple(leave.identity for leave in self._known)
+        events.write("leaves", RestoredLeaves(identities))
+        self._apply(self._known)
+
+    async def _read(self):
         try:
-            page = await self._store.read_newest(LEAVES_TOPIC)
+            page = await self._store.read_newest(INSTANCES_TOPIC)
         except StoreError as error:
             events.write("leaves-unread", events.Message(str(error)))
-            return False
-        self.is_read = True
-        leaves = _list_leaves(page.records, self._address)
-        identities = tuple(leave.identity for leave in leaves)
-        events.write("leaves", RestoredLeaves(identities))
-        self._apply(leaves)
-        return True
+            await asyncio.sleep(RETRY_DELAY)
+            return
+        self._known = _list_leaves(page.records, self._address)
+        self.note_read()
 
     async def _write(self, leave):
         loop = asyncio.get_running_loop()
@@ -135,26 +161,31 @@
     async def _delete_known(self, before):
         """Delete the records that were there before; return those that are new."""
         try:
-            page = await self._store.read_newest(LEAVES_TOPIC)
+            page = await self._store.read_newest(INSTANCES_TOPIC)
         except StoreError as error:
             events.write("leaves-unread", events.Message(str(error)))
             return before
-        present = frozenset(record.key for record in page.records)
+        keys = (record.key for record in page.records)
+        present = frozenset(key for key in keys if key.startswith(LEAVE_PREFIX))
         for key in sorted(present & before):
             await self._try_append(keyed.Record(key, b""))
         return present - before
 
     async def _try_append(self, record):
         try:
-            await self._store.append(LEAVES_TOPIC, record)
+            await self._store.append(INSTANCES_TOPIC, record)
         except StoreError as error:
             events.write("leave-not-written", events.Message(str(error)))
             return False
         return True
 
 
+def _build_prefix(address):
+    return LEAVE_PREFIX + address + _SEPARATOR
+
+
 def _build_key(address, leave):
-    return address + _SEPARATOR + leave.identity
+    return _build_prefix(address) + leave.identity
 
 
 def _encode_leave(leave):
@@ -163,7 +194,8 @@
 
 def _list_leaves(records, address):
     """Return the `Leave` tuples of a daemon's backend servers among all records."""
-    own = [each for each in records if each.key.startswith(address + _SEPARATOR)]
+    prefix = _build_prefix(address)
+    own = [each for each in records if each.key.startswith(prefix) and each.value]
     leaves = []
     for record in own:
         try:
--- a/whinwinch/platform/localbackend.py
+++ b/whinwinch/platform/localbackend.py
@@ -51,7 +51,7 @@
         self._is_stopping = is_stopping
         self._announcements = Announcements()
         self._leaves = leaverecords.LeaveRecords(
-            store, instance.location.address, self._apply_leaves
+            store, instance.location.address, self._apply_leaves, has_records
         )
         # Whether the backend server is to be installed once earlier leaves are known.
         self._is_install_deferred = False
@@ -73,6 +73,11 @@
             timer.cancel()
         self._leaves.close()
 
+    @property
+    def leaves(self):
+        """The `leaverecords.LeaveRecords` of this daemon's backend servers."""
+        return self._leaves
+
     async def maintain_leaves(self, is_cleaner):
         """Maintain the records of leaves, as in `LeaveRecords.maintain`."""
         await self._leaves.maintain(is_cleaner)
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -200,7 +200,7 @@
                 INSTANCES_TOPIC,
                 self._followed_instances,
                 instance.is_reader,
-                instance.topics.record_read,
+                self._record_instances_read,
                 INSTANCES_WAIT,
                 INSTANCES_BATCH_DELAY,
             ),
@@ -305,8 +305,16 @@
             if self.instance.install_configuration(parsed.table, parsed.workspaces):
                 self._callers.limits = parsed.limits
 
+    def _record_instances_read(self, topic, end, now):
+        """Record that this daemon has read the instances' topic from the store."""
+        self.instance.topics.record_read(topic, end, now)
+        self._backend.leaves.note_read()
+
     def _apply_instance_records(self, changed):
+        self._backend.leaves.apply_records(changed)
         for record in changed:
+            if record.key.startswith(records.LEAVE_PREFIX):
+                continue
             if record.key == records.GRAPH_KEY:
                 self._records.apply_topology(record.value)
                 continue
--- a/whinwinch/platform/records.py
+++ b/whinwinch/platform/records.py
@@ -8,9 +8,11 @@
 
 # Key of the call topology.
 GRAPH_KEY = "calls"
-# Prefix of the keys of crashes, before the identifier of the backend server. All other
-# keys are addresses of daemons.
+# Prefix of the keys of crashes, before the identifier of the backend server.
 CRASH_PREFIX = "crash/"
+# Prefix of the keys of leaves, before the address of the daemon and the identifier of
+# the backend server. All other keys are addresses of daemons.
+LEAVE_PREFIX = "leave/"
 
 
 def encode_endpoint(endpoint):
