Open the slots of a backend server once it takes work

Cause: Guard.install compared a backend server with the one installed before it, and returned early for one that leaves. A daemon that starts while the store turns it away hears from others that its endpoint may have left, so it installs the next start as leaving; once the store can be read it takes that back. The start was then "the same process" as the one installed last, for which no slots had ever been opened, and each decision raised AttributeError.

Change: what counts is the backend server for which connections and slots were last opened. The same comparison had two more effects, each with its own test: a start that is installed as leaving first kept the connections, named limit and running count of the start before it, and slots that were announced while it counted as leaving were never applied.

Failed before the change: test_leave_that_is_taken_back_lets_work_in, test_start_that_is_installed_as_leaving_first_gets_its_own_slots, test_slots_announced_while_leaving_count_once_that_is_taken_back and, with all parts of a mesh, test_start_that_was_taken_for_leaving_serves_after_the_outage (20 of 20 requests got 500).

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -38,7 +38,13 @@
         port = await self.backend.listen("127.0.0.1", 0)
         self.wait = 5.0
         self.stop_window = stopwindow.StopWindow()
-        self.guard = guard.Guard(
+        self.port = port
+        self.guard = self.build_guard(port)
+        self.guard.install(BACKEND)
+        self.addAsyncCleanup(self.end)
+
+    def build_guard(self, port):
+        return guard.Guard(
             Address("127.0.0.1", port),
             guard.Dialect(
                 form,
@@ -60,8 +66,6 @@
             self.leaves.append,
             self.stop_window,
         )
-        self.guard.install(BACKEND)
-        self.addAsyncCleanup(self.end)
 
     async def end(self):
         self.hold.set()
@@ -320,6 +324,38 @@
         served = await self.start("again", path="/x")
         self.assertIs(served.outcome, Outcome.COMPLETED)
 
+    async def test_leave_that_is_taken_back_lets_work_in(self):
+        """Guards against a first backend server that is refused for good.
+
+        It is installed as leaving, and then turns out not to leave.
+        """
+        fresh = self.build_guard(self.port)
+        self.addCleanup(fresh.close)
+        fresh.install(BACKEND._replace(leaving=True))
+        self.assertEqual(fresh.find_level("c"), 0.0)
+        fresh.install(BACKEND)
+        self.hold.set()
+        self.assertTrue(fresh.has_free_slot("s"))
+        deadline = asyncio.get_running_loop().time() + 5.0
+        answer = await fresh.serve(requests.build("first", deadline=deadline))
+        self.assertEqual(answer.outcome, Outcome.COMPLETED)
+
+    async def test_start_that_is_installed_as_leaving_first_gets_its_own_slots(self):
+        """Guards against a new process that is held to the limits of the last one."""
+        await self.occupy_all_slots()
+        later = BACKEND._replace(start_time_ms=1, slots=3)
+        self.guard.install(later._replace(leaving=True))
+        self.guard.install(later)
+        self.assertEqual(self.guard.load().in_service, 0)
+        self.assertEqual(self.guard.load().limit, 3)
+
+    async def test_slots_announced_while_leaving_count_once_that_is_taken_back(self):
+        """Guards against a limit that differs from what was announced last."""
+        changed = BACKEND._replace(slots=5)
+        self.guard.install(changed._replace(leaving=True))
+        self.guard.install(changed)
+        self.assertEqual(self.guard.load().limit, 5)
+
     async def test_next_start_under_the_same_identifier_gets_new_connections(self):
         """Guards against requests lost on connections to the process before."""
         self.hold.set()
--- a/test/emulator/test_leaves.py
+++ b/test/emulator/test_leaves.py
@@ -52,6 +52,19 @@
         instance = self.member.node.instance
         await self.mesh.wait_until(lambda: instance.table.version)
 
+    async def leave_and_restart_daemon_without_store(self):
+        """Kill the daemon after a leave; only other daemons tell its next process."""
+        self.backend.state = "draining"
+        self.assertEqual(await self.backend.announce(), 200)
+        address = str(self.member.settings.daemons)
+        directory = self.other.node.instance.directory
+        await self.mesh.wait_until(
+            lambda: directory.find_recorded(address).leaving_backend
+        )
+        await self.mesh.kill(self.member)
+        self.mesh.store.faults = store.Faults(refuse=503)
+        self.member = await self.mesh.restart(self.member)
+
     async def send_late_heartbeat(self):
         """Let the heartbeat arrive and wait until the daemon would believe it."""
         await self.backend.send_report("PUT", self.build_late_heartbeat())
@@ -152,20 +165,26 @@
 
     async def test_leave_that_other_daemons_know_holds_while_the_store_is_away(self):
         """Guards against a promise that is forgotten in an outage of the store."""
-        self.backend.state = "draining"
-        self.assertEqual(await self.backend.announce(), 200)
-        address = str(self.member.settings.daemons)
-        directory = self.other.node.instance.directory
-        await self.mesh.wait_until(
-            lambda: directory.find_recorded(address).leaving_backend
-        )
-        await self.mesh.kill(self.member)
-        self.mesh.store.faults = store.Faults(refuse=503)
-        self.member = await self.mesh.restart(self.member)
+        await self.leave_and_restart_daemon_without_store()
         self.backend.state = "ready"
         await self.send_late_heartbeat()
         await self.assert_gets_no_work()
 
+    async def test_start_that_was_taken_for_leaving_serves_after_the_outage(self):
+        """Guards against requests that all end in an error for good."""
+        await self.leave_and_restart_daemon_without_store()
+        self.backend.state = "ready"
+        self.backend.born += 1
+        self.assertEqual(await self.backend.announce(), 200)
+        instance = self.member.node.instance
+        await self.mesh.wait_until(lambda: instance.guard.backend is not None)
+        self.assertTrue(instance.guard.backend.leaving)
+        self.mesh.store.faults = store.Faults()
+        await self.mesh.wait_until(lambda: not instance.guard.backend.leaving)
+        count = len(self.backend.arrivals)
+        await self.assert_serves(self.member)
+        self.assertGreater(len(self.backend.arrivals), count)
+
     async def test_identifier_that_no_record_can_hold_is_refused(self):
         """Guards against an error in the middle of an acknowledgement."""
         self.backend.identity = "i" * (localbackend.MAX_IDENTIFIER_BYTES + 1)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -165,6 +165,9 @@
         self._background = background.Background()
         self._named_limit = namedlimits.NamedLimit()
         self.backend = None
+        # The `Backend` for which connections and slots were last opened, None if there
+        # has been no backend server since.
+        self._prepared_for = None
         self.is_stopping = False
         # Identifiers of the attempts that are running.
         self._at_work = set()
@@ -176,11 +179,23 @@
         Waiting requests are refused as soon as the backend server leaves, so that
         they can be retried at another endpoint.
         """
-        before = self.backend
         self.backend = backend
-        if backend is None or backend.leaving:
+        if backend is None:
             self._slots.refuse_waiting()
+            self._prepared_for = None
             return
+        if backend.leaving:
+            self._slots.refuse_waiting()
+            return
+        self._prepare(backend)
+
+    def _prepare(self, backend):
+        """Open connections and slots for a backend server that takes work.
+
+        The one installed last may be the same process while it was taken for leaving,
+        for which nothing was opened. So what counts is the last one that took work.
+        """
+        before, self._prepared_for = self._prepared_for, backend
         if before is None or not before.is_same_process(backend):
             # Pooled connections lead to the previous backend server.
             self._connections.close()
