Refuse requests that wait for a backend server that is replaced

Callers whose requests waited for a slot as the backend server crashed and started again under its identifier waited out their whole share of the objective, though the new start was idle; then they were refused for their deadline.

Cause: Slots.open replaced the gate, and with it the queue, without telling those in it. A leave refuses them, a crash that is followed by another start's heartbeat didn't.

Change: opening slots refuses what waits at the gate before, so that it goes to another endpoint at once. test_requests_that_wait_for_a_crashed_start_are_refused_at_once timed out after a second before the change and passes now.

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -356,6 +356,15 @@
         self.guard.install(changed)
         self.assertEqual(self.guard.load().limit, 5)
 
+    async def test_requests_that_wait_for_a_crashed_start_are_refused_at_once(self):
+        """Guards against requests that wait in a queue that is no longer served."""
+        await self.occupy_all_slots()
+        waiting = self.start("third")
+        await asyncio.sleep(0.02)
+        self.guard.install(BACKEND._replace(start_time_ms=1))
+        answer = await asyncio.wait_for(waiting, 1.0)
+        self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+
     async def test_next_start_under_the_same_identifier_gets_new_connections(self):
         """Guards against requests lost on connections to the process before."""
         self.hold.set()
--- a/whinwinch/backends/slots.py
+++ b/whinwinch/backends/slots.py
@@ -34,7 +34,12 @@
         return self._gate is not None
 
     def open(self, count):
-        """Replace the gate for a new backend server with a number of slots."""
+        """Replace the gate for a new backend server with a number of slots.
+
+        Requests that wait at the gate of the previous one are refused: no slot of the
+        new gate is ever given to them.
+        """
+        self.refuse_waiting()
         self._gate = gate.Gate(count, self._loop.time(), self._dimensions)
         self._cancel_rate_timer()
 
