Answer an unexpected error before an attempt is sent as not run

Cause: Guard.serve and Forwarder.serve let every exception through to the servers, which answer it as of unknown outcome.

Change: an exception before the gatekeeper admits an attempt, or before the entry sends a request to any daemon, is logged with its traceback and answered 503, not run, with a Retry-After; the entry goes on to another endpoint. From the admission on nothing changes: the outcome stays unknown.

Failed before the change: test_error_in_a_decision_is_answered_as_not_run of test_guard and of test_forwarding (KeyError). Two more tests, green before and after, check that an error after the attempt was sent is never answered as not run.

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from test import requests
 from whinwinch import callgraph, crashes, repeats, stopwindow
@@ -365,6 +366,24 @@
         answer = await asyncio.wait_for(waiting, 1.0)
         self.assertEqual(answer.outcome, Outcome.NOT_RUN)
 
+    async def test_error_in_a_decision_is_answered_as_not_run(self):
+        """Guards against "unknown" for work that was never sent."""
+        error = unittest.mock.Mock(side_effect=KeyError)
+        with unittest.mock.patch.object(self.guard._repeat_budget, "try_spend", error):
+            answer = await self.start("x", again=True, repeatable=False)
+        self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+        self.assertGreater(answer.retry_after, 0.0)
+        self.assertEqual(self.started, [])
+
+    async def test_error_after_the_attempt_was_sent_is_not_answered_as_not_run(self):
+        """Guards against a payout that runs twice because of an unrelated error."""
+        self.hold.set()
+        error = unittest.mock.Mock(side_effect=KeyError)
+        with unittest.mock.patch.object(self.guard._slots, "leave", error):
+            with self.assertRaises(KeyError):
+                await self.start("x", repeatable=False)
+        self.assertEqual(self.started, ["/x"])
+
     async def test_next_start_under_the_same_identifier_gets_new_connections(self):
         """Guards against requests lost on connections to the process before."""
         self.hold.set()
--- a/test/test_forwarding.py
+++ b/test/test_forwarding.py
@@ -99,6 +99,24 @@
     def calls(self):
         return [call for peer in self.peers.values() for call in peer.calls]
 
+    async def test_error_in_a_decision_is_answered_as_not_run(self):
+        """Guards against "unknown" for work that was never sent."""
+        forwarder = self.build([])
+        error = unittest.mock.Mock(side_effect=KeyError)
+        with unittest.mock.patch.object(self.reported_levels, "level", error):
+            answer = await forwarder.serve(self.request(repeatable=False), 2)
+        self.assertIs(answer.outcome, Outcome.NOT_RUN)
+        self.assertGreater(answer.retry_after, 0.0)
+        self.assertEqual(self.calls, [])
+
+    async def test_error_once_the_request_was_sent_is_not_answered_as_not_run(self):
+        """Guards against a payout that runs twice because of an unrelated error."""
+        forwarder = self.build([])
+        error = unittest.mock.Mock(side_effect=KeyError)
+        with unittest.mock.patch.object(self.crash_history, "record_answer", error):
+            with self.assertRaises(KeyError):
+                await forwarder.serve(self.request(repeatable=False), 2)
+
     async def test_full_gatekeeper_does_not_count_as_an_endpoint_tried(self):
         """A full endpoint refuses before its backend server does any work."""
         forwarder = self.build([FULL] * 9, [FULL] * 9, [])
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -171,6 +171,8 @@
         self.is_stopping = False
         # Identifiers of the attempts that are running.
         self._at_work = set()
+        # Identifiers of the attempts that may be sent, until they are answered.
+        self._admitted = set()
         self.refused = collections.Counter()
 
     def install(self, backend):
@@ -250,7 +252,24 @@
         return self._slots.find_level(route)
 
     async def serve(self, request):
-        """Admit and run one attempt, or refuse it, and return its answer."""
+        """Admit and run one attempt, or refuse it, and return its answer.
+
+        An unexpected error before the attempt is admitted is a refusal, so that it can
+        be retried elsewhere. Otherwise a fault in a decision would take the endpoint
+        away from work that it could not have begun.
+        """
+        try:
+            return await self._serve(request)
+        except Exception:
+            if request.attempt in self._admitted:
+                raise
+            logging.exception("deciding on attempt %s failed", request.attempt)
+            return _build_not_run(request, Reason.NOT_SENT, NO_ENDPOINT_RETRY_AFTER)
+        finally:
+            self._admitted.discard(request.attempt)
+
+    async def _serve(self, request):
+        """Serve an attempt unless it would come too late."""
         reason = self._find_refusal_reason(request.service)
         if reason is None:
             reason = self._find_time_refusal_reason(request)
@@ -302,6 +321,7 @@
             max_wait = min(max_wait, LIMITED_MAX_WAIT)
         decision = await self._slots.decide(request, max_wait)
         if decision.verdict is gate.Verdict.ADMIT:
+            self._admitted.add(request.attempt)
             return await self._run_admitted(request)
         is_full = decision.reason in FULL_REASONS
         reason = Reason.LIMIT if is_limited and is_full else decision.reason
--- a/whinwinch/forwarding.py
+++ b/whinwinch/forwarding.py
@@ -8,6 +8,8 @@
 import collections
 import random
 
+from absl import logging
+
 from . import decisions, hints, messages, retries, sending, subsets, tries
 from .daemons import frames
 from .levels import refuse_below
@@ -63,12 +65,29 @@
     async def serve(self, request, max_endpoints):
         """Forward a request, with retries, and return its answer.
 
+        An unexpected error before it is sent is a refusal, which a caller may retry.
+
         Args:
             request: `messages.Request`.
             max_endpoints: Maximum number of endpoints whose backend servers may
                 receive the request.
         """
         sent = tries.Tries(max_endpoints)
+        try:
+            return await self._serve(request, sent)
+        except Exception:
+            if sent.has_begun:
+                raise
+            logging.exception("deciding on request %s failed", request.root)
+            return build_failure(
+                request,
+                Outcome.NOT_RUN,
+                Reason.NOT_SENT,
+                retry_after=NO_ENDPOINT_RETRY_AFTER,
+            )
+
+    async def _serve(self, request, sent):
+        """Forward a request, with retries, and record its `tries.Tries`."""
         retry_count, may_have_run = 0, False
         crash_count = 0
         while True:
@@ -85,6 +104,7 @@
             attempt = request._replace(
                 attempt=messages.new_identifier(), again=sent.has_reached_backend
             )
+            sent.has_begun = True
             answer = await self._send(attempt, choice)
             sent.record(address, answer)
             may_have_run |= answer.outcome is Outcome.UNKNOWN
--- a/whinwinch/tries.py
+++ b/whinwinch/tries.py
@@ -23,9 +23,13 @@
     Args:
         max_endpoints: Maximum number of endpoints whose backend servers may receive
             the request.
+
+    Attributes:
+        has_begun: Whether the request has been sent to any endpoint's daemon.
     """
 
     def __init__(self, max_endpoints):
+        self.has_begun = False
         self._max_endpoints = max_endpoints
         self._tried = set()
         self._reached = set()
