Settle which start of a backend server leaves by what goes on, not by start times

The endpoint had crashed and started again under its identifier; its only heartbeat was 3 s late, and its DELETE, which names no start, came before.

Cause: a leave that names no start was taken to be of the start heard last, and where none had been heard, of every start for good. Which start a message is of was decided by comparing start times, which are readings of a wall clock, and by nothing else.

Change: start times only raise a doubt. A leave without a start counts for every start up to the daemon's wall clock, and 2 s more where the identifier wasn't known to leave (the step of a clock; such an endpoint serves on longer than that). A start in doubt, by a leave or as an earlier one than the present, gets work once three heartbeats with ascending numbers have come over four seconds: late ones end, a live process goes on. A start that is known to leave is never believed again. A leave isn't acknowledged (503) while work goes on to its identifier. The store's record holds the start and the bound; daemons of either release read the other's.

The emulated backend server announces the wall clock as its start, as the platform's do.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 from typing import NamedTuple
 
 from whinwinch.http1 import client
@@ -127,6 +128,11 @@
     time: float
 
 
+def read_wall_clock():
+    """Return the time of day in milliseconds."""
+    return int(time.time() * 1000)
+
+
 class Backend:
     """One backend server, which serves HTTP and sends heartbeats to its daemon.
 
@@ -153,7 +159,7 @@
         # Identifier of the request that made each call, by identifier of the call.
         self.parents = {}
         self.address = ""
-        self.born = 1_000
+        self.born = read_wall_clock()
         self._slots = Slots(slots)
         self._random = random.Random(seed)
         self._pools = caller.Pools()
@@ -162,6 +168,7 @@
         self._sequence = 0
         self._first_identity = identity
         self._is_down = False
+        self._is_silent = False
         self.server = Server(self._answer, Limits())
 
     @property
@@ -210,10 +217,23 @@
     async def keep_announcing(self):
         """Send heartbeats until the task is cancelled."""
         while True:
-            if not self._is_down:
+            if not self._is_down and not self._is_silent:
                 await self.announce()
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
+    def silence(self):
+        """Send no more heartbeats by itself, as one that has left, and serve on."""
+        self._is_silent = True
+
+    def go_on(self):
+        """Send heartbeats by itself again, as the next start under the identifier."""
+        self.restart_sequence()
+        self._is_silent = False
+
+    def restart_sequence(self):
+        """Number the heartbeats anew, as the next start does."""
+        self._sequence = 0
+
     def crash(self, request=""):
         """End the process; it starts again with a new identifier after some time.
 
@@ -233,7 +253,7 @@
         await asyncio.sleep(RESTART_SECONDS)
         host, _, port = self.address.rpartition(":")
         self.identity = f"{self._first_identity}-{len(self.crashes)}"
-        self.born += 1
+        self.born = read_wall_clock()
         self._sequence = 0
         # Runs of the process that ended give back the slots of that one.
         self._slots = Slots(self.slots)
--- a/emulator/disruptions.py
+++ b/emulator/disruptions.py
@@ -132,7 +132,7 @@
     server = member.backend
     context.release_member(member)
     server.identity += "-next"
-    server.born += 1
+    server.born = backend.read_wall_clock()
 
 
 async def spoil_backends(context):
--- a/test/emulator/test_leaves.py
+++ b/test/emulator/test_leaves.py
@@ -33,14 +33,14 @@
         self.member, self.other = self.mesh.members
         self.backend = self.member.backend
 
-    def build_late_heartbeat(self):
+    def build_late_heartbeat(self, sequence=1_000):
         """Return the next heartbeat as it is before the backend server leaves."""
         heartbeat = {
             "service": self.backend.service,
             "address": self.backend.address,
             "slots": self.backend.slots,
             "state": "ready",
-            "seq": 1_000,
+            "seq": sequence,
             "born": self.backend.born,
         }
         return json.dumps(heartbeat).encode()
@@ -78,6 +78,14 @@
                 await caller.send_with_retries(member.callers, READ)
         self.assertEqual(len(self.backend.arrivals), count)
 
+    async def assert_gets_work(self):
+        """Wait until requests reach the backend server through its own daemon."""
+        instance = self.member.node.instance
+        await self.mesh.wait_until(lambda: instance.guard.has_free_slot("reads"))
+        count = len(self.backend.arrivals)
+        await self.assert_serves(self.member)
+        self.assertGreater(len(self.backend.arrivals), count)
+
     async def assert_serves(self, member):
         results = [
             await caller.send_with_retries(member.callers, READ)
@@ -142,14 +150,10 @@
         self.assertEqual(await self.backend.leave(), 200)
         await self.restart_daemon()
         self.backend.state = "ready"
-        self.backend.born += 1
+        self.backend.born = backend.read_wall_clock()
         self.assertEqual(await self.backend.announce(), 200)
-        instance = self.member.node.instance
-        await self.mesh.wait_until(lambda: instance.guard.has_free_slot("reads"))
+        await self.assert_gets_work()
         self.assertEqual(await self.mesh.probe_readiness(self.member), 200)
-        count = len(self.backend.arrivals)
-        await self.assert_serves(self.member)
-        self.assertGreater(len(self.backend.arrivals), count)
 
     async def test_daemon_serves_although_leaves_cannot_be_read(self):
         """Guards against an outage of the store that takes backend servers away."""
@@ -174,16 +178,57 @@
         """Guards against requests that all end in an error for good."""
         await self.leave_and_restart_daemon_without_store()
         self.backend.state = "ready"
-        self.backend.born += 1
+        self.backend.born = backend.read_wall_clock()
         self.assertEqual(await self.backend.announce(), 200)
         instance = self.member.node.instance
         await self.mesh.wait_until(lambda: instance.guard.backend is not None)
         self.assertTrue(instance.guard.backend.leaving)
         self.mesh.store.faults = store.Faults()
         await self.mesh.wait_until(lambda: not instance.guard.backend.leaving)
-        count = len(self.backend.arrivals)
-        await self.assert_serves(self.member)
-        self.assertGreater(len(self.backend.arrivals), count)
+        await self.assert_gets_work()
+
+    async def test_late_heartbeat_of_a_restarted_one_does_not_undo_its_leave(self):
+        """Guards against payouts that run at an endpoint that has left."""
+        self.backend.silence()
+        self.backend.born = backend.read_wall_clock()
+        self.assertEqual(await self.backend.leave(), 200)
+        await self.backend.send_report("PUT", self.build_late_heartbeat(1))
+        await self.assert_gets_no_work()
+        await self.restart_daemon()
+        await self.backend.send_report("PUT", self.build_late_heartbeat(2))
+        await asyncio.sleep(localbackend.LEAVES_WAIT)
+        await self.assert_gets_no_work()
+
+    async def test_delete_to_a_new_process_does_not_count_for_later_starts(self):
+        """Guards against an endpoint that is dead for good after its restart."""
+        self.backend.silence()
+        await self.restart_daemon()
+        self.assertEqual(await self.backend.leave(), 200)
+        await self.backend.send_report("PUT", self.build_late_heartbeat())
+        await self.assert_gets_no_work()
+        self.backend.born = backend.read_wall_clock() + 2_001
+        self.assertEqual(await self.backend.announce(), 200)
+        await self.assert_gets_work()
+
+    async def test_clock_set_back_before_a_new_start_delays_work_only(self):
+        """Guards against an endpoint that is dead for good after its restart."""
+        self.backend.silence()
+        self.assertEqual(await self.backend.leave(), 200)
+        self.backend.born = backend.read_wall_clock() - 2_000
+        self.backend.go_on()
+        await self.assert_gets_work()
+
+    async def test_leave_is_not_acknowledged_while_its_start_is_in_doubt(self):
+        """Guards against a promise to one whose clock was set back at its restart."""
+        self.backend.silence()
+        self.backend.born -= 2_000
+        self.backend.state = "draining"
+        self.backend.restart_sequence()
+        self.assertEqual(await self.backend.announce(), 503)
+        self.backend.go_on()
+        await self.mesh.wait_until(self.list_recorded)
+        self.assertEqual(await self.backend.announce(), 200)
+        await self.assert_gets_no_work()
 
     async def test_identifier_that_no_record_can_hold_is_refused(self):
         """Guards against an error in the middle of an acknowledgement."""
--- a/test/platform/test_leaverecords.py
+++ b/test/platform/test_leaverecords.py
@@ -6,13 +6,13 @@
 import unittest.mock
 
 from emulator import store as emulated
-from whinwinch.announcements import Leave
 from whinwinch.logservice import keyed
 from whinwinch.platform import leaverecords
 from whinwinch.platform.recordkeeping import INSTANCES_TOPIC
 from whinwinch.platform.records import LEAVE_PREFIX
 from whinwinch.platform.store import Store
 from whinwinch.settings import Address
+from whinwinch.starts import Leave
 
 ADDRESS = "10.0.0.1:7"
 # Begins like the other address, and is another daemon's.
@@ -57,8 +57,13 @@
     async def test_successor_reads_what_was_written(self):
         """Guards against a leave that ends with the process."""
         self.assertTrue(await self.build().write(LEAVE, 1.0))
-        self.assertTrue(await self.build(OTHER_ADDRESS).write(Leave("i-2", None), 1.0))
-        for address, leave in ((ADDRESS, LEAVE), (OTHER_ADDRESS, Leave("i-2", None))):
+        self.assertTrue(
+            await self.build(OTHER_ADDRESS).write(Leave("i-2", None, 700), 1.0)
+        )
+        for address, leave in (
+            (ADDRESS, LEAVE),
+            (OTHER_ADDRESS, Leave("i-2", None, 700)),
+        ):
             self.maintain(self.build(address))
             await self.wait_until(lambda: self.applied)
             self.assertEqual(self.applied.pop(), (leave,))
--- a/whinwinch/announcements.py
+++ b/whinwinch/announcements.py
@@ -6,13 +6,19 @@
 callers would be sent to a backend server that is about to stop.
 
 A backend server that has said that it leaves keeps leaving. The word holds for one
-start of it: a later start under the same identifier is another backend server.
+start of it: a later start under the same identifier is another backend server. Where
+start times don't tell them apart, `starts` does.
 """
 
 import enum
-import math
 from typing import NamedTuple
 
+from .starts import Leave, LeftStarts, LiveStarts, Start
+
+# Milliseconds by which a start may seem to be later than its leave: its wall clock was
+# ahead when it started, and has been set since.
+MAX_CLOCK_STEP_MS = 2_000
+
 
 class State(enum.Enum):
     """State that a backend server announces."""
@@ -45,18 +51,10 @@
     state: State
     warmup_left: float = 0.0
 
-
-class Leave(NamedTuple):
-    """One start of a backend server that leaves or has left.
-
-    Attributes:
-        identity: Identifier of the backend server.
-        start_time_ms: Its start time in milliseconds of its wall clock, 0 when it
-            doesn't announce it; None when it isn't known which start has left.
-    """
-
-    identity: str
-    start_time_ms: int | None
+    @property
+    def start(self):
+        """The `starts.Start` that announces itself."""
+        return Start(self.identity, self.start_time_ms)
 
 
 class Announcements:
@@ -64,20 +62,24 @@
 
     def __init__(self):
         self._newest = None
-        # Start times up to which a backend server leaves, and up to which it has left,
-        # by its identifier.
-        self._leaving = {}
-        self._departed = {}
+        # Starts that leave, and starts that have left.
+        self._leaving = LeftStarts()
+        self._departed = LeftStarts()
+        # The latest `Leave` by identifier.
+        self._leaves = {}
         # The last backend server that leaves or has left, None once another has come.
         self._last_leave = None
         # Identifier of a backend server that has perhaps said that it leaves.
         self._suspected = ""
+        self._live = LiveStarts()
+        # The start in effect if it was in doubt and has been shown to be alive.
+        self._confirmed = None
 
     @property
     def newest(self):
         """The `Announcement` in effect, or None."""
         newest = self._newest
-        if newest is not None and self._is_leaving(newest):
+        if newest is not None and self._is_leaving(newest.start):
             return newest._replace(state=State.LEAVING)
         return newest
 
@@ -97,33 +99,52 @@
             return newest.state is State.LEAVING
         return self._last_leave is not None or self._suspected != ""
 
-    def apply(self, announcement):
+    @property
+    def confirmed(self):
+        """The `starts.Start` last shown to be alive after a doubt, or None."""
+        return self._confirmed
+
+    def find_leave(self, identity):
+        """Return the latest `Leave` under an identifier, None if there is none."""
+        return self._leaves.get(identity)
+
+    def gets_work(self, identity):
+        """Return whether new work goes to a backend server with an identifier."""
+        newest = self.newest
+        if newest is None or newest.identity != identity:
+            return False
+        return newest.state is State.READY
+
+    def apply(self, announcement, now):
         """Apply an announcement unless it is outdated.
 
         Args:
             announcement: The `Announcement`.
+            now: Time of the event loop's clock in seconds.
 
         Returns:
             The reason why it was ignored, or "" when it is now the newest.
         """
         rejection = self._find_rejection(announcement)
-        if rejection:
-            return rejection
-        self._newest = announcement
+        if not rejection:
+            rejection = self._settle_doubt(announcement, now)
+        if not rejection:
+            self._newest = announcement
         if announcement.state is State.LEAVING:
-            leave = Leave(announcement.identity, announcement.start_time_ms)
-            self._note_leave(self._leaving, leave)
-        elif not self._is_leaving(announcement):
+            # The word holds however late it comes, and for a start in doubt as well.
+            self._note_leave(self._leaving, self._build_leave(announcement.start))
+        elif not rejection and not self._is_leaving(announcement.start):
             self._last_leave = None
-        return ""
+        return rejection
 
-    def apply_leave(self, identity, start_time_ms):
+    def apply_leave(self, identity, start_time_ms, now_ms):
         """Apply the message that a backend server has left.
 
         Args:
             identity: Identifier of the backend server.
             start_time_ms: Start time of the process that left, in milliseconds of its
                 wall clock; 0 when the message doesn't contain it.
+            now_ms: Time of this daemon's wall clock in milliseconds.
 
         Returns:
             Whether the announcement in effect was withdrawn.
@@ -132,25 +153,35 @@
         is_newest = newest is not None and newest.identity == identity
         if is_newest and 0 < start_time_ms < newest.start_time_ms:
             # An earlier process with the same identifier has left.
+            self._departed.record(Leave(identity, start_time_ms))
             return False
+        self._live.clear()
+        if start_time_ms:
+            leave = self._build_leave(Start(identity, start_time_ms))
+        else:
+            leave = self._build_leave_of_any(identity, now_ms)
         if is_newest:
-            start_time_ms = max(start_time_ms, newest.start_time_ms)
+            self._departed.record(Leave(identity, newest.start_time_ms))
             self._newest = None
-        elif not start_time_ms:
-            start_time_ms = None
-        self._note_leave(self._departed, Leave(identity, start_time_ms))
+        self._note_leave(self._departed, leave)
         return is_newest
 
-    def apply_leaving_answer(self, identity):
+    def apply_leaving_answer(self, identity, now_ms):
         """Apply that a backend server said in an answer that it leaves.
 
         It keeps leaving whatever it announces later: its heartbeats may still say that
         it is ready.
+
+        Args:
+            identity: Identifier of the backend server.
+            now_ms: Time of this daemon's wall clock in milliseconds.
         """
         newest = self._newest
-        is_newest = newest is not None and newest.identity == identity
-        start_time_ms = newest.start_time_ms if is_newest else None
-        self._note_leave(self._leaving, Leave(identity, start_time_ms))
+        if newest is not None and newest.identity == identity:
+            leave = self._build_leave(newest.start)
+        else:
+            leave = self._build_leave_of_any(identity, now_ms)
+        self._note_leave(self._leaving, leave)
 
     def suspect_leave(self, identity):
         """Take a backend server for leaving until `restore_leaves`.
@@ -170,38 +201,82 @@
         self._suspected = ""
         for leave in leaves:
             self._note_leave(self._leaving, leave)
-        if self._newest is not None and not self._is_leaving(self._newest):
+        if self._newest is not None and not self._is_leaving(self._newest.start):
             self._last_leave = None
 
-    def _note_leave(self, start_times, leave):
-        any_start = leave.start_time_ms is None
-        start_time_ms = math.inf if any_start else leave.start_time_ms
-        before = start_times.get(leave.identity, start_time_ms)
-        start_times[leave.identity] = max(before, start_time_ms)
+    def _build_leave(self, start):
+        """Return the `Leave` of a known start, with what was presumed before."""
+        before = self._leaves.get(start.identity)
+        return Leave(
+            start.identity,
+            start.time_ms,
+            None if before is None else before.presumed_until_ms,
+        )
+
+    def _build_leave_of_any(self, identity, now_ms):
+        """Return the `Leave` of whichever start sent a message that names none.
+
+        It may be one that hasn't been heard of, as its first announcement is late.
+        """
+        newest, before = self._newest, self._leaves.get(identity)
+        start_time_ms = None if before is None else before.start_time_ms
+        if newest is not None and newest.identity == identity:
+            start_time_ms = newest.start_time_ms
+        if self._last_leave is not None and self._last_leave.identity == identity:
+            # It may exit now, and start again at once.
+            return Leave(identity, start_time_ms, now_ms)
+        return Leave(identity, start_time_ms, now_ms + MAX_CLOCK_STEP_MS)
+
+    def _note_leave(self, left_starts, leave):
+        left_starts.record(leave)
+        self._leaves[leave.identity] = leave
         self._last_leave = leave
 
-    def _is_leaving(self, announcement):
-        is_suspected = announcement.identity == self._suspected
-        return is_suspected or _is_covered(announcement, self._leaving)
+    def _is_leaving(self, start):
+        if self._leaving.contains(start):
+            return True
+        return start != self._confirmed and self._is_presumed_leaving(start)
+
+    def _is_presumed_leaving(self, start):
+        return start.identity == self._suspected or self._leaving.presumes(start)
 
     def _find_rejection(self, announcement):
-        if _is_covered(announcement, self._departed):
+        """Return why an announcement is surely outdated, "" if it may be the newest."""
+        if self._departed.contains(announcement.start):
             return "this backend server has already left"
         newest = self._newest
-        if newest is None:
+        if newest is None or newest.start != announcement.start:
             return ""
-        if newest.identity != announcement.identity:
-            older = 0 < announcement.start_time_ms < newest.start_time_ms
-            return "a later start was already announced" if older else ""
-        if announcement.start_time_ms != newest.start_time_ms:
-            older = announcement.start_time_ms < newest.start_time_ms
-            return "a later start was already announced" if older else ""
         if announcement.sequence <= newest.sequence:
             return "a newer announcement was already applied"
         return ""
 
+    def _settle_doubt(self, announcement, now):
+        """Return why a start is not believed to be alive, "" if it is."""
+        start, newest = announcement.start, self._newest
+        if start == self._confirmed:
+            return ""
+        doubt = self._find_doubt(start)
+        if not doubt and not self._is_presumed_leaving(start):
+            self._live.clear()
+            self._confirmed = None
+            return ""
+        if not self._live.observe(start, announcement.sequence, now):
+            return doubt
+        self._confirmed = start
+        if newest is not None and newest.start != start:
+            # One process at a time can be alive here, so the other one has ended.
+            self._departed.record(Leave(*newest.start))
+        return ""
 
-def _is_covered(announcement, start_times):
-    """Return whether a start of a backend server is not later than a known one."""
-    known = start_times.get(announcement.identity)
-    return known is not None and announcement.start_time_ms <= known
+    def _find_doubt(self, start):
+        """Return why the announcements of a start may be late ones, or ""."""
+        if self._departed.presumes(start):
+            return "this backend server has presumably left"
+        newest = self._newest
+        if newest is None or newest.start == start:
+            return ""
+        is_known = start.time_ms > 0 or newest.identity == start.identity
+        if is_known and start.time_ms < newest.start_time_ms:
+            return "a later start was already announced"
+        return ""
--- a/whinwinch/platform/leaverecords.py
+++ b/whinwinch/platform/leaverecords.py
@@ -15,8 +15,8 @@
 from typing import NamedTuple
 
 from .. import background, events
-from ..announcements import Leave
 from ..logservice import keyed
+from ..starts import Leave
 from .recordkeeping import INSTANCES_TOPIC
 from .records import LEAVE_PREFIX
 from .store import StoreError
@@ -37,11 +37,13 @@
     Attributes:
         identity: Identifier of the backend server.
         start_time_ms: Its start time in milliseconds, None if unknown.
+        presumed_until_ms: Start time up to which other starts presumably left too.
         seconds: Seconds that it took to record it.
     """
 
     identity: str
     start_time_ms: int | None
+    presumed_until_ms: int | None
     seconds: float
 
 
@@ -62,7 +64,7 @@
     Args:
         store: `store.Store`.
         address: Address of the daemon, which its successor has too.
-        apply: Function called with `announcements.Leave` tuples that were read.
+        apply: Function called with `starts.Leave` tuples that were read.
         has_records: Function that returns whether this daemon has a copy of the topic,
             which may be older than the topic.
 
@@ -78,20 +80,24 @@
         # Leaves of this daemon's backend servers that earlier processes recorded.
         self._known = ()
         self._background = background.Background()
-        # Tasks that write a leave, also those that are done.
+        # Tasks that write a leave, also those that are done; and the latest of each
+        # backend server, by its identifier.
         self._writes = {}
+        self._latest_writes = {}
         self.is_read = False
 
     def begin_write(self, leave):
         """Write a leave to the store, unless that has begun already."""
         if leave not in self._writes:
-            self._writes[leave] = self._background.start(self._write(leave))
+            before = self._latest_writes.get(leave.identity)
+            task = self._background.start(self._write(leave, before))
+            self._writes[leave] = self._latest_writes[leave.identity] = task
 
     async def write(self, leave, seconds):
         """Write a leave to the store; return whether it is there in time.
 
         Args:
-            leave: `announcements.Leave`.
+            leave: `starts.Leave`.
             seconds: Seconds to wait. The write goes on after them.
         """
         self.begin_write(leave)
@@ -149,9 +155,12 @@
         self._known = _list_leaves(page.records, self._address)
         self.note_read()
 
-    async def _write(self, leave):
+    async def _write(self, leave, before):
+        """Write a leave once the write `before` it, of the same record, has ended."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        if before is not None:
+            await asyncio.wait([before])
         record = keyed.Record(_build_key(self._address, leave), _encode_leave(leave))
         while not await self._try_append(record):
             await asyncio.sleep(RETRY_DELAY)
@@ -206,7 +215,7 @@
 
 
 def decode_leave(value):
-    """Return the `announcements.Leave` of a record's value.
+    """Return the `starts.Leave` of a record's value.
 
     Raises:
         ValueError: When the value isn't the record of a leave.
@@ -214,9 +223,10 @@
     fields = json.loads(value)
     if not isinstance(fields, dict):
         raise ValueError("must be a JSON object")
-    identity, start_time_ms = fields.get("identity"), fields.get("start_time_ms")
-    if not isinstance(identity, str):
+    if not isinstance(fields.get("identity"), str):
         raise ValueError("identity must be a string")
-    if start_time_ms is not None and type(start_time_ms) is not int:
-        raise ValueError("start_time_ms must be an integer or null")
-    return Leave(identity, start_time_ms)
+    # Daemons of the previous release don't write the second.
+    times = [fields.get(name) for name in ("start_time_ms", "presumed_until_ms")]
+    if not all(time is None or type(time) is int for time in times):
+        raise ValueError("times must be integers or null")
+    return Leave(fields["identity"], *times)
--- a/whinwinch/platform/localbackend.py
+++ b/whinwinch/platform/localbackend.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import time
 from urllib.parse import urlsplit
 
 from .. import events
@@ -38,10 +39,18 @@
         has_records: Function that returns whether the records of all daemons are read.
         note_change: Function called when the endpoint of this daemon may have changed.
         is_stopping: Function that returns whether the daemon is being stopped.
+        read_wall_clock: Function that returns the time of day in seconds.
     """
 
     def __init__(
-        self, store, instance, find_service, has_records, note_change, is_stopping
+        self,
+        store,
+        instance,
+        find_service,
+        has_records,
+        note_change,
+        is_stopping,
+        read_wall_clock=time.time,
     ):
         self._loop = asyncio.get_running_loop()
         self._instance = instance
@@ -49,6 +58,7 @@
         self._has_records = has_records
         self._note_change = note_change
         self._is_stopping = is_stopping
+        self._read_wall_clock = read_wall_clock
         self._announcements = Announcements()
         self._leaves = leaverecords.LeaveRecords(
             store, instance.location.address, self._apply_leaves, has_records
@@ -91,11 +101,16 @@
         if http.method not in ("PUT", "DELETE"):
             return HttpResponse(405, "Method Not Allowed")
         try:
-            self._apply_report(identity, http)
+            is_leave = self._apply_report(identity, http)
         except (InputErrors, ValueError) as error:
             events.write("heartbeat-unread", events.Message(f"{identity}: {error}"))
             return HttpResponse(400, "Bad Request")
-        if not await self._is_leave_recorded(identity):
+        if is_leave and self._announcements.gets_work(identity):
+            # It is of another start than the one in effect, or its own start is still
+            # in doubt. Work goes on reaching this identifier, so nothing is promised.
+            events.write("leave-passed-over", events.Message(identity))
+            return HttpResponse(503, "Not Applied")
+        if is_leave and not await self._is_leave_recorded(identity):
             # A successor of this process would know nothing of the leave.
             events.write("leave-unacknowledged", events.Message(identity))
             return HttpResponse(503, "Not Recorded")
@@ -103,7 +118,7 @@
 
     def handle_leave(self, identity):
         """Give no new work to a backend server that says in an answer it leaves."""
-        self._announcements.apply_leaving_answer(identity)
+        self._announcements.apply_leaving_answer(identity, self._read_wall_time_ms())
         self._leaves.begin_write(self._announcements.last_leave)
         self._install()
 
@@ -119,7 +134,7 @@
             self._install()
 
     def _apply_report(self, identity, http):
-        """Apply a heartbeat or a leave request.
+        """Apply a heartbeat or a leave request; return whether it says it leaves.
 
         Raises:
             InputErrors: With a finding for every missing or invalid field.
@@ -129,27 +144,37 @@
             raise ValueError("the identifier is too long")
         if http.method == "DELETE":
             start_time_ms = heartbeats.parse_start(http.body)
-            self._announcements.apply_leave(identity, start_time_ms)
+            now_ms = self._read_wall_time_ms()
+            self._announcements.apply_leave(identity, start_time_ms, now_ms)
+            is_leave = True
         else:
-            self._apply_heartbeat(heartbeats.parse_heartbeat(identity, http.body))
+            announcement = heartbeats.parse_heartbeat(identity, http.body)
+            self._apply_heartbeat(announcement)
+            is_leave = announcement.state is State.LEAVING
         self._install()
+        return is_leave
+
+    def _read_wall_time_ms(self):
+        """Return the time of day in milliseconds, as start times are announced."""
+        return int(self._read_wall_clock() * 1000)
 
     def _apply_heartbeat(self, announcement):
         service = self._find_service()
         if announcement.service != service:
             raise ValueError(f"service is {announcement.service}, must be {service}")
-        problem = self._announcements.apply(announcement)
+        confirmed = self._announcements.confirmed
+        problem = self._announcements.apply(announcement, self._loop.time())
         if problem:
             events.write(
                 "heartbeat-passed-over",
                 events.Message(f"{announcement.identity}: {problem}"),
             )
+        elif self._announcements.confirmed not in (None, confirmed):
+            events.write("start-confirmed", self._announcements.confirmed)
 
     async def _is_leave_recorded(self, identity):
-        """Return whether a successor will know of a leave, if there is one."""
-        leave = self._announcements.last_leave
-        if leave is None or leave.identity != identity:
-            return True
+        """Return whether a successor of this process will know of a leave."""
+        leave = self._announcements.find_leave(identity)
         return await self._leaves.write(leave, LEAVE_RECORD_WAIT)
 
     def _apply_leaves(self, leaves):
