Take an answer for broken whose status is none of HTTP

A caller of an endpoint that answered with status 000 (or 001 to 099) and kept its connection got 504 at its deadline, 3.05 s later in a run with real processes; until then the request kept its slot and its connection. 600 and 999 were handed to the caller with the endpoint's seal, bytes that are no answer in the protocol. Callers never got 000 itself.

Cause: what the parser reads as a status was not checked, and everything below 200 was taken for an interim response, to be followed by another one.

Change: the reader of responses accepts 100 to 599. Anything else, and an interim response that has a body, is no response: the outcome is unknown, 502, at once, and the connection isn't used again, also where a proper response follows. What comes behind a complete response changes nothing for that one. The same reader serves the store and the product's own interface.

Failed before the change: test_status_that_is_none_of_http_is_broken_at_once (000, 007, 099: timed out, or took what came behind; 600, 999: accepted) and test_interim_response_with_a_body_is_broken.

--- a/test/http1/test_client.py
+++ b/test/http1/test_client.py
@@ -166,6 +166,30 @@
         with self.assertRaises(client.BrokenError):
             await self.send_request()
 
+    async def test_status_that_is_none_of_http_is_broken_at_once(self):
+        """Guards against 000 as an interim response, and 600 as an answer."""
+        for status in (b"000", b"007", b"099", b"600", b"999"):
+            invalid = (RESPONSE % b"1").replace(b"200", status)
+            for behind in (b"", RESPONSE % b"1"):
+                with self.subTest(status=status, behind=behind):
+                    await self.start([invalid + behind, None])
+                    with self.assertRaises(client.BrokenError):
+                        await self.send_request(seconds=1.0)
+
+    async def test_status_that_is_none_of_http_behind_a_response_changes_nothing(self):
+        """Guards against an answer that is lost for what came behind it."""
+        invalid = (RESPONSE % b"2").replace(b"200", b"000")
+        await self.start([RESPONSE % b"1" + invalid], [RESPONSE % b"3"])
+        for _ in range(2):
+            self.assertEqual((await self.send_request()).status, 200)
+        self.assertEqual(self.accepted, 2)
+
+    async def test_interim_response_with_a_body_is_broken(self):
+        """Guards against a wait until the deadline behind a 199 that is final."""
+        await self.start([(RESPONSE % b"1").replace(b"200", b"199"), None])
+        with self.assertRaises(client.BrokenError):
+            await self.send_request(seconds=1.0)
+
     async def test_interim_response_is_skipped(self):
         await self.start([b"HTTP/1.1 100 Continue\r\n\r\n" + RESPONSE % b"1"])
         self.assertEqual((await self.send_request()).status, 200)
--- a/whinwinch/http1/responses.py
+++ b/whinwinch/http1/responses.py
@@ -17,6 +17,9 @@
 # Bytes counted for each header in addition to its own: a short one takes more memory
 # than that as an object.
 HEADER_COST_BYTES = 64
+# Status codes of HTTP. The parser reads others as well, 000 among them.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Responses to other requests that may come before the awaited one.
 MAX_DROPPED_RESPONSES = 4
 
@@ -110,7 +113,13 @@
         """Determine whose response it is, and how the end of the body is marked."""
         self._in_body = True
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            # Taken for an interim or a final response, it would be waited behind until
+            # the deadline, or handed to the caller.
+            raise InvalidResponseError(f"no status code of HTTP: {status}")
         if status < 200:
+            if self._is_framed:
+                raise InvalidResponseError("interim response with a body")
             return
         has_body = status not in (204, 304)
         self._ends_at_close = has_body and not self._is_framed
