Back off from an address at which nothing can be reached

A daemon that read an endpoint's record with an invalid address (no port, a host label of 150 characters, a port out of range) wrote a traceback for each attempt to connect, 576 to 2,254 in 20 to 60 s (the users' figures), without any pause between them.

Cause: the attempt caught OSError and time-outs. An address that can't be parsed or encoded raises ValueError, UnicodeError or OverflowError, which ended the task before the backoff was increased.

--- a/test/daemons/test_links.py
+++ b/test/daemons/test_links.py
@@ -151,6 +151,18 @@
         for session in tuple(self.called.sessions):
             session.transport.abort()
 
+    async def test_invalid_address_is_tried_less_and_less_often(self):
+        """Guards against a traceback for each attempt, without bound."""
+        for address in ("x", "127.0.0.1:70000", "127.0.0.1:-1", f"{150 * 'a'}:1"):
+            with self.subTest(address):
+                peer = self.peers.find(address)
+                self.assertFalse(await peer._wait_connected(1.0))
+                first = peer._backoff
+                self.assertGreater(first, 0.0)
+                await asyncio.sleep(1.1 * first)
+                self.assertFalse(await peer._wait_connected(1.0))
+                self.assertGreater(peer._backoff, first)
+
     async def test_calls_share_a_connection(self):
         answers = await asyncio.gather(
             *(self.peer.call(build_request(number)) for number in range(20))
--- a/whinwinch/daemons/links.py
+++ b/whinwinch/daemons/links.py
@@ -391,6 +391,10 @@
                 await link.hello_received
         except (OSError, TimeoutError) as error:
             self._handle_connect_failure(link, error)
+        except (OverflowError, ValueError) as error:
+            # Nothing can be reached at such an address, however often it is tried.
+            logging.warning("invalid address of a daemon: %r: %s", self.address, error)
+            self._handle_connect_failure(link, error)
         except asyncio.CancelledError:
             # The link was closed before a Hello came, or this daemon stops.
             self._handle_connect_failure(
