Let no record of another writer stop those behind it

Another writer left a deeply nested value among the records of the endpoints: the tasks of the daemons that read it ended and were restarted, and the records behind it in the same read were never applied, endpoints and leaves among them. A nested configuration, or one with limits of another type, kept the next one out in the same way. Records whose key is no address, or with -5 or 10^400 slots, counted as endpoints; heartbeats nested deeply or with 10^400 slots ended in 500.

Cause: each decoder parsed JSON by itself and named the errors that it expected; RecursionError, AttributeError and OverflowError are others. The copy of a topic has moved on when its records are applied, so an exception loses the rest for good.

Change: values.parse_object, parse_number and parse_address are the one decoder of what others write (store, heartbeats, configuration), with bounds on nesting, numbers, slots and addresses. Whatever else goes wrong with one record is logged with its key and ends with this record. Of an unforeseen error in a configuration only its type is logged, as its message may hold a key.

The tests' addresses "h:1" are no longer such and became IPv4 addresses; the emulated store counted a key's characters in place of its bytes.

--- a/emulator/store.py
+++ b/emulator/store.py
@@ -122,7 +122,8 @@
 
 def build_record(key, value):
     """Return the encoded record of a keyed topic."""
-    return bytes([len(key)]) + key.encode() + value
+    data = key.encode()
+    return bytes([len(data)]) + data + value
 
 
 def split_record(data):
--- a/test/platform/test_followers.py
+++ b/test/platform/test_followers.py
@@ -21,7 +21,8 @@
     def write(self, kind, event):
         self.written.append((kind, event))
 
-    sample = write
+    def sample(self, kind, event, group=""):
+        self.write(kind, event)
 
 
 class ScriptedStore:
--- a/test/platform/test_localbackend.py
+++ b/test/platform/test_localbackend.py
@@ -15,7 +15,7 @@
 TARGET = f"{localbackend.REPORT_PREFIX}i-1"
 HEARTBEAT = {
     "service": "s",
-    "address": "h:1",
+    "address": "10.0.0.1:1",
     "slots": 4,
     "state": "ready",
     "seq": 1,
--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -7,21 +7,21 @@
 from whinwinch.messages import Endpoint
 from whinwinch.platform import records
 
-ENDPOINT = Endpoint("h:1", "h:1", "s", "a", "r", 4)
+ENDPOINT = Endpoint("10.0.0.1:1", "10.0.0.1:1", "s", "a", "r", 4)
 
 
 class RecordTest(unittest.TestCase):
     def test_round_trip(self):
         value = records.encode_endpoint(ENDPOINT)
-        self.assertEqual(records.decode_endpoint("h:1", value), ENDPOINT)
-        self.assertIsNone(records.decode_endpoint("h:1", b""))
+        self.assertEqual(records.decode_endpoint("10.0.0.1:1", value), ENDPOINT)
+        self.assertIsNone(records.decode_endpoint("10.0.0.1:1", b""))
 
     def test_record_of_the_previous_release(self):
         """Guards against daemons that don't find each other during a release."""
         fields = ENDPOINT._asdict()
         del fields["leaving_backend"]
         value = json.dumps(fields).encode()
-        self.assertEqual(records.decode_endpoint("h:1", value), ENDPOINT)
+        self.assertEqual(records.decode_endpoint("10.0.0.1:1", value), ENDPOINT)
 
     def test_record_of_another_writer(self):
         """Another program writes records with other fields; they must be rejected."""
@@ -32,10 +32,10 @@
             b"{}",
             json.dumps({**fields, "slots": "4"}).encode(),
             json.dumps({**fields, "leaving": 0}).encode(),
-            json.dumps({**fields, "address": "h:2"}).encode(),
+            json.dumps({**fields, "address": "10.0.0.1:2"}).encode(),
         ):
             with self.subTest(value), self.assertRaises(ValueError):
-                records.decode_endpoint("h:1", value)
+                records.decode_endpoint("10.0.0.1:1", value)
 
     def test_record_of_a_crash(self):
         crash = CrashRecord("i-1", ("ab", "cd"), "cd")
--- a/whinwinch/messages.py
+++ b/whinwinch/messages.py
@@ -215,6 +215,10 @@
         return self.outcome is Outcome.COMPLETED and not self.is_server_error
 
 
+# Requests that one backend server can process concurrently: more is a writer's error.
+MAX_SLOTS = 1_000_000
+
+
 class Endpoint(NamedTuple):
     """Backend server that other daemons can reach through the daemon beside it.
 
--- a/whinwinch/platform/configuration.py
+++ b/whinwinch/platform/configuration.py
@@ -1,6 +1,5 @@
 """Parser of the operator's configuration into routes and limits."""
 
-import json
 import math
 from typing import NamedTuple
 
@@ -10,7 +9,7 @@
 from ..routes import Route, RouteTable, WeightedService
 from ..workspaces.keys import digest_key
 from ..workspaces.registry import Quota, Registry, Workspace
-from .values import parse_duration, parse_version
+from .values import parse_duration, parse_object, parse_version
 
 # Importance by the platform's priority, of which 0 is the highest. Priorities beyond
 # the last one are LOW.
@@ -46,9 +45,7 @@
         InputErrors: With a finding for every invalid route and workspace.
         ValueError: When the data isn't JSON or has no version.
     """
-    document = json.loads(data)
-    if not isinstance(document, dict):
-        raise ValueError("the configuration must be a JSON object")
+    document = parse_object(data)
     version = parse_version(document.get("version"))
     findings = []
     routes = _parse_items(document, "routes", _parse_route, findings)
--- a/whinwinch/platform/heartbeats.py
+++ b/whinwinch/platform/heartbeats.py
@@ -1,10 +1,9 @@
 """Parser of a backend server's heartbeat into an announcement."""
 
-import json
-
 from ..announcements import Announcement, State
 from ..errors import Finding, raise_findings
-from .values import parse_duration
+from ..messages import MAX_SLOTS
+from .values import parse_address, parse_duration, parse_number, parse_object
 
 _STATES = {"ready": State.READY, "draining": State.LEAVING}
 
@@ -20,9 +19,7 @@
         InputErrors: With a finding for every missing or invalid field.
         ValueError: When the body isn't a JSON object.
     """
-    document = json.loads(data)
-    if not isinstance(document, dict):
-        raise ValueError("a heartbeat must be a JSON object")
+    document = parse_object(data)
     findings = []
 
     def read(name, parse):
@@ -36,10 +33,10 @@
         identity=identity,
         # `born` is the start of this incarnation; some backend servers don't send it.
         start_time_ms=read("born", _parse_start_time),
-        sequence=read("seq", _parse_count),
+        sequence=read("seq", parse_number),
         service=read("service", _parse_text),
-        address=read("address", _parse_text),
-        slots=read("slots", _parse_count),
+        address=read("address", lambda text: str(parse_address(text))),
+        slots=read("slots", lambda count: parse_number(count, MAX_SLOTS)),
         state=read("state", _parse_state),
         warmup_left=read("warmup_left", lambda text: parse_duration(text or "0ms")),
     )
@@ -54,35 +51,26 @@
         The start in milliseconds, 0 if the body doesn't contain it.
 
     Raises:
-        ValueError: When the body isn't JSON or the start is invalid.
+        ValueError: When the body isn't a JSON object or the start is invalid.
     """
     if not data:
         return 0
-    document = json.loads(data)
-    return _parse_start_time(
-        document.get("born") if isinstance(document, dict) else None
-    )
+    return _parse_start_time(parse_object(data).get("born"))
 
 
 def _parse_start_time(value):
     if value is None:
         return 0
-    return _parse_count(value)
-
-
-def _parse_count(value):
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"must be a non-negative integer, but is {value!r}")
-    return value
+    return parse_number(value)
 
 
 def _parse_text(value):
     if not isinstance(value, str) or not value:
-        raise ValueError(f"must be a non-empty string, but is {value!r}")
+        raise ValueError("must be a non-empty string")
     return value
 
 
 def _parse_state(value):
     if value not in _STATES:
-        raise ValueError(f"must be one of {', '.join(_STATES)}, but is {value!r}")
+        raise ValueError(f"must be one of {', '.join(_STATES)}")
     return _STATES[value]
--- a/whinwinch/platform/leaverecords.py
+++ b/whinwinch/platform/leaverecords.py
@@ -17,6 +17,7 @@
 from .. import background, events
 from ..logservice import keyed
 from ..starts import Leave
+from . import values
 from .recordkeeping import INSTANCES_TOPIC
 from .records import LEAVE_PREFIX
 from .store import StoreError
@@ -220,13 +221,12 @@
     Raises:
         ValueError: When the value isn't the record of a leave.
     """
-    fields = json.loads(value)
-    if not isinstance(fields, dict):
-        raise ValueError("must be a JSON object")
+    fields = values.parse_object(value)
     if not isinstance(fields.get("identity"), str):
         raise ValueError("identity must be a string")
     # Daemons of the previous release don't write the second.
     times = [fields.get(name) for name in ("start_time_ms", "presumed_until_ms")]
-    if not all(time is None or type(time) is int for time in times):
-        raise ValueError("times must be integers or null")
+    for time in times:
+        if time is not None:
+            values.parse_number(time)
     return Leave(fields["identity"], *times)
--- a/whinwinch/platform/localbackend.py
+++ b/whinwinch/platform/localbackend.py
@@ -102,7 +102,7 @@
             return HttpResponse(405, "Method Not Allowed")
         try:
             is_leave = self._apply_report(identity, http)
-        except (InputErrors, ValueError) as error:
+        except (InputErrors, ValueError, RecursionError) as error:
             events.write("heartbeat-unread", events.Message(f"{identity}: {error}"))
             return HttpResponse(400, "Bad Request")
         if is_leave and self._announcements.gets_work(identity):
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -76,6 +76,10 @@
             await asyncio.sleep(TASK_RESTART_DELAY)
 
 
+def _log_unread(key, error):
+    events.write("record-unread", events.Message(f"{key}: {error}"))
+
+
 class Node:
     """One daemon on the platform.
 
@@ -302,6 +306,11 @@
             except (InputErrors, ValueError) as error:
                 events.write("configuration-unread", events.Message(str(error)))
                 continue
+            except Exception as error:
+                # The message of an unforeseen error may contain a key.
+                name = type(error).__name__
+                events.write("configuration-unread", events.Message(name))
+                continue
             if self.instance.install_configuration(parsed.table, parsed.workspaces):
                 self._callers.limits = parsed.limits
 
@@ -313,26 +322,37 @@
     def _apply_instance_records(self, changed):
         self._backend.leaves.apply_records(changed)
         for record in changed:
-            if record.key.startswith(records.LEAVE_PREFIX):
-                continue
-            if record.key == records.GRAPH_KEY:
-                self._records.apply_topology(record.value)
-                continue
-            if record.key.startswith(records.CRASH_PREFIX):
-                self._apply_crash(record)
-                continue
             try:
-                endpoint = records.decode_endpoint(record.key, record.value)
-            except ValueError as error:
-                events.write("record-unread", events.Message(f"{record.key}: {error}"))
-                continue
-            self.instance.record_endpoint(record.key, endpoint)
-            is_own = record.key == self.instance.location.address
-            if is_own and endpoint is not None and endpoint.leaving_backend:
-                self._backend.suspect_leave(endpoint.leaving_backend)
+                self._apply_instance_record(record)
+            except Exception as error:
+                # Any program can write a record. The copy of the topic goes on behind
+                # this one, so those that follow would never be applied.
+                _log_unread(record.key, error)
+                if not isinstance(error, ValueError):
+                    logging.exception("a record could not be applied")
         self._backend.install_deferred()
         self._records.note_change()
 
+    def _apply_instance_record(self, record):
+        """Apply a record of the instances' topic.
+
+        Raises:
+            ValueError: When it isn't one of this release's records.
+        """
+        if record.key.startswith(records.LEAVE_PREFIX):
+            return
+        if record.key == records.GRAPH_KEY:
+            self._records.apply_topology(record.value)
+            return
+        if record.key.startswith(records.CRASH_PREFIX):
+            self._apply_crash(record)
+            return
+        endpoint = records.decode_endpoint(record.key, record.value)
+        self.instance.record_endpoint(record.key, endpoint)
+        is_own = record.key == self.instance.location.address
+        if is_own and endpoint is not None and endpoint.leaving_backend:
+            self._backend.suspect_leave(endpoint.leaving_backend)
+
     def _is_first_reader(self):
         return self.instance.is_reader() and self.instance.reader_rank == 0
 
@@ -341,11 +361,7 @@
         if not record.value:
             history.forget(record.key.removeprefix(records.CRASH_PREFIX))
             return
-        try:
-            crash = records.decode_crash(record.value)
-        except ValueError as error:
-            events.write("record-unread", events.Message(f"{record.key}: {error}"))
-            return
+        crash = records.decode_crash(record.value)
         history.apply(crash, asyncio.get_running_loop().time())
 
     def _reload_settings(self, cause):
--- a/whinwinch/platform/recordkeeping.py
+++ b/whinwinch/platform/recordkeeping.py
@@ -71,14 +71,12 @@
         return True
 
     def apply_topology(self, value):
-        """Apply the value of the record of the call topology."""
-        try:
-            topology = records.decode_topology(value)
-        except ValueError as error:
-            events.write(
-                "record-unread", events.Message(f"{records.GRAPH_KEY}: {error}")
-            )
-            return
+        """Apply the value of the record of the call topology.
+
+        Raises:
+            ValueError: When the value isn't the record of a topology.
+        """
+        topology = records.decode_topology(value)
         self._recorded_topology = topology
         self._instance.graph.merge_topology(topology)
 
--- a/whinwinch/platform/records.py
+++ b/whinwinch/platform/records.py
@@ -5,6 +5,7 @@
 from .. import messages
 from ..callgraph import Edge, Topology
 from ..crashes import CrashRecord
+from . import values
 
 # Key of the call topology.
 GRAPH_KEY = "calls"
@@ -32,7 +33,7 @@
     """
     if not value:
         return None
-    fields = _load_object(value)
+    fields = values.parse_object(value)
     # Daemons of the previous release don't write it.
     fields.setdefault("leaving_backend", "")
     for name, kind in messages.Endpoint.__annotations__.items():
@@ -41,6 +42,8 @@
     endpoint = messages.Endpoint(*(fields[name] for name in messages.Endpoint._fields))
     if endpoint.address != address or endpoint.daemon != address:
         raise ValueError("address and daemon must equal the record's key")
+    values.parse_address(address)
+    values.parse_number(endpoint.slots, messages.MAX_SLOTS)
     return endpoint
 
 
@@ -55,7 +58,7 @@
     Raises:
         ValueError: When the value isn't the record of a topology.
     """
-    fields = _load_object(value)
+    fields = values.parse_object(value)
     entries, calls = fields.get("entries"), fields.get("calls")
     if not isinstance(entries, list) or not isinstance(calls, list):
         raise ValueError("entries and calls must be lists")
@@ -78,7 +81,7 @@
     Raises:
         ValueError: When the value isn't the record of a crash.
     """
-    fields = _load_object(value)
+    fields = values.parse_object(value)
     identity, proven = fields.get("identity"), fields.get("proven")
     fingerprints = fields.get("fingerprints")
     if not isinstance(fingerprints, list):
@@ -86,10 +89,3 @@
     if not all(isinstance(text, str) for text in (identity, proven, *fingerprints)):
         raise ValueError("identity, proven and fingerprints must be strings")
     return CrashRecord(identity, tuple(fingerprints), proven)
-
-
-def _load_object(value):
-    fields = json.loads(value)
-    if not isinstance(fields, dict):
-        raise ValueError("must be a JSON object")
-    return fields
--- a/whinwinch/platform/store.py
+++ b/whinwinch/platform/store.py
@@ -156,7 +156,10 @@
 
     async def _exchange(self, method, name, query, body, seconds):
         request = HttpRequest(
-            method, f"/whinwinch/{name}?{urlencode(query)}", body=body
+            method,
+            # A key of another writer may contain what is no text.
+            f"/whinwinch/{name}?{urlencode(query, errors='surrogatepass')}",
+            body=body,
         )
         until = asyncio.get_running_loop().time() + seconds
         try:
@@ -183,7 +186,7 @@
             answer = json.loads(data)
             if isinstance(answer["items"], list) and answer["end_offset"] >= 0:
                 return answer
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, RecursionError) as error:
             raise StoreError(Outcome.UNKNOWN, f"malformed page: {error}") from error
         raise StoreError(Outcome.UNKNOWN, "malformed page")
 
@@ -221,6 +224,8 @@
     """Return the `Record` of an item of a JSON page, None if malformed."""
     try:
         value = base64.b64decode(item["value"] or "")
-        return Record(str(item["key"]), value, int(item["offset"]))
+        # Other daemons, to whom records are handed on, take text only.
+        key = str(item["key"]).encode().decode()
+        return Record(key, value, int(item["offset"]))
     except (KeyError, TypeError, ValueError):
         return None
