Judge work by its deadline while most of its kind has not ended yet

Callers whose unsafe requests take 2 to 5 s lost 1 or 2 of them in each of four planned stops of one daemon that had served for 3 s (real processes, calm, nothing else stopped): sent 0.85 to 1.22 s after SIGTERM, passed on, and cut off 5.6 s after it.

Cause: a stop accepts work by the longest of the latest durations of its kind, once 20 are known. The first 20 that end are the short ones; those that will take long are in flight, and nothing counted them.

Change: work in flight is counted by kind. Where more than one in a hundred of the samples has been in flight for longer than the longest of them, the longest isn't known, and the deadline decides. One request that hangs changes nothing.

test_stop_takes_no_work_like_that_which_has_not_ended_yet failed before (the attempt was accepted).

--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -76,7 +76,8 @@
 
     async def answer(self, request, peer):
         self.started.append(request.target)
-        await self.hold.wait()
+        if "quick" not in request.target:
+            await self.hold.wait()
         self.ended.append(request.target)
         return http.HttpResponse(200, "OK", (), request.target.encode())
 
@@ -366,6 +367,22 @@
         answer = await asyncio.wait_for(waiting, 1.0)
         self.assertEqual(answer.outcome, Outcome.NOT_RUN)
 
+    async def test_stop_takes_no_work_like_that_which_has_not_ended_yet(self):
+        """Guards against work that is cut off as only short work has ended so far."""
+        self.guard.install(BACKEND._replace(slots=50))
+        for number in range(stopwindow.MIN_SAMPLES):
+            held = self.start(f"long{number}")
+            self.addCleanup(held.cancel)
+        for number in range(stopwindow.MIN_SAMPLES):
+            await self.start(f"quick{number}")
+        await asyncio.sleep(0.1)
+        now = asyncio.get_running_loop().time()
+        self.stop_window.begin(now, now + 2.0, 0.0)
+        answer = await self.start("quick", seconds=5.0)
+        self.assertEqual(answer.reason, Reason.LEAVING)
+        answer = await self.start("quick", seconds=1.0)
+        self.assertEqual(answer.outcome, Outcome.COMPLETED)
+
     async def test_error_in_a_decision_is_answered_as_not_run(self):
         """Guards against "unknown" for work that was never sent."""
         error = unittest.mock.Mock(side_effect=KeyError)
--- a/test/test_stopwindow.py
+++ b/test/test_stopwindow.py
@@ -23,24 +23,46 @@
 
     def test_longest_is_unknown_until_enough_was_seen(self):
         """Guards against taking one quick answer for all work of its kind."""
-        self.assertEqual(self.durations.find_longest("r"), math.inf)
+        self.assertEqual(self.durations.find_longest("r", NOW), math.inf)
         self.durations.record("r", SHORT_SECONDS)
-        self.assertEqual(self.durations.find_longest("r"), math.inf)
+        self.assertEqual(self.durations.find_longest("r", NOW), math.inf)
         record_known(self.durations, "r", LONG_SECONDS)
-        self.assertEqual(self.durations.find_longest("r"), LONG_SECONDS)
+        self.assertEqual(self.durations.find_longest("r", NOW), LONG_SECONDS)
+
+    def test_longest_is_unknown_while_most_are_in_flight(self):
+        """Guards against work that is cut off as only short work has ended so far."""
+        in_flight = [self.durations.begin("r", NOW) for _ in range(2)]
+        record_known(self.durations, "r", SHORT_SECONDS)
+        soon, later = NOW + SHORT_SECONDS / 2, NOW + LONG_SECONDS
+        self.assertEqual(self.durations.find_longest("r", soon), SHORT_SECONDS)
+        self.assertEqual(self.durations.find_longest("r", later), math.inf)
+        self.durations.end(in_flight[0], later, has_run=True)
+        self.assertEqual(self.durations.find_longest("r", later), LONG_SECONDS)
+        self.durations.end(in_flight[1], later, has_run=False)
+        self.assertEqual(self.durations.find_longest("r", later), LONG_SECONDS)
+
+    def test_single_outlier_changes_nothing(self):
+        """Guards against refusing short work behind one request that hangs."""
+        self.durations.begin("r", NOW)
+        for _ in range(stopwindow.MAX_SAMPLES):
+            self.durations.record("r", SHORT_SECONDS)
+        later = NOW + LONG_SECONDS
+        self.assertEqual(self.durations.find_longest("r", later), SHORT_SECONDS)
+        self.durations.begin("r", NOW)
+        self.assertEqual(self.durations.find_longest("r", later), math.inf)
 
     def test_old_durations_are_forgotten(self):
         """Guards against refusing work for a slowness that is over."""
         self.durations.record("r", LONG_SECONDS)
         for _ in range(stopwindow.MAX_SAMPLES):
             self.durations.record("r", SHORT_SECONDS)
-        self.assertEqual(self.durations.find_longest("r"), SHORT_SECONDS)
+        self.assertEqual(self.durations.find_longest("r", NOW), SHORT_SECONDS)
 
     def test_kinds_are_bounded(self):
         """Guards against memory that grows with each route ever configured."""
         for number in range(stopwindow.MAX_KINDS + 1):
             record_known(self.durations, str(number), SHORT_SECONDS)
-        self.assertEqual(self.durations.find_longest("0"), math.inf)
+        self.assertEqual(self.durations.find_longest("0", NOW), math.inf)
 
     def test_longest_of_all_kinds(self):
         self.assertEqual(self.durations.find_longest_of_all(), 0.0)
--- a/whinwinch/backends/guard.py
+++ b/whinwinch/backends/guard.py
@@ -275,11 +275,13 @@
             reason = self._find_time_refusal_reason(request)
         if reason is not None:
             return self._refuse(request, reason, NO_ENDPOINT_RETRY_AFTER)
-        arrived_at = self._loop.time()
-        answer = await self._serve_in_time(request)
-        if answer.outcome is not Outcome.NOT_RUN:
-            self._durations.record(request.call, self._loop.time() - arrived_at)
-        return answer
+        work, has_run = self._durations.begin(request.call, self._loop.time()), False
+        try:
+            answer = await self._serve_in_time(request)
+            has_run = answer.outcome is not Outcome.NOT_RUN
+            return answer
+        finally:
+            self._durations.end(work, self._loop.time(), has_run)
 
     async def _serve_in_time(self, request):
         """Serve an attempt that can end before its deadline and the daemon's stop."""
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -283,13 +283,16 @@
         arrived_at = self._loop.time()
         self.caller_drain.record_arrival(arrived_at)
         parent = self._find_parent(request, route, connection, expires)
-        if parent is None:
-            answer = await self._serve_root(request, route)
-        else:
-            answer = await self._serve_call(request, route, parent, connection)
-        if answer.outcome is not Outcome.NOT_RUN:
-            self._durations.record(request.call, self._loop.time() - arrived_at)
-        return answer
+        work, has_run = self._durations.begin(request.call, arrived_at), False
+        try:
+            if parent is None:
+                answer = await self._serve_root(request, route)
+            else:
+                answer = await self._serve_call(request, route, parent, connection)
+            has_run = answer.outcome is not Outcome.NOT_RUN
+            return answer
+        finally:
+            self._durations.end(work, self._loop.time(), has_run)
 
     async def _serve_call(self, request, route, parent, connection):
         """Serve a call of the local backend server, also while the daemon stops.
--- a/whinwinch/stopwindow.py
+++ b/whinwinch/stopwindow.py
@@ -16,7 +16,9 @@
 """
 
 import collections
+import itertools
 import math
+from typing import NamedTuple
 
 from . import messages
 
@@ -34,11 +36,45 @@
 RETURN_SECONDS = 1.0
 
 
+class Work(NamedTuple):
+    """Work that has arrived and isn't answered.
+
+    Attributes:
+        kind: Its kind.
+        number: Tells it from other work of its kind.
+        arrived_at: Event loop time of its arrival, in seconds.
+    """
+
+    kind: str
+    number: int
+    arrived_at: float
+
+
 class RecentDurations:
-    """How long the latest work of each kind took."""
+    """How long the latest work of each kind took, and what is in flight."""
 
     def __init__(self):
         self._samples = collections.OrderedDict()
+        self._numbers = itertools.count()
+        self._in_flight = set()
+
+    def begin(self, kind, now):
+        """Record that work of a kind arrives; return the `Work`, to be ended."""
+        work = Work(kind, next(self._numbers), now)
+        self._in_flight.add(work)
+        return work
+
+    def end(self, work, now, has_run):
+        """Record that `Work` is in flight no longer.
+
+        Args:
+            work: What `begin` returned.
+            now: Event loop time, in seconds.
+            has_run: Whether it may have run, so that its duration counts.
+        """
+        self._in_flight.discard(work)
+        if has_run:
+            self.record(work.kind, now - work.arrived_at)
 
     def record(self, kind, seconds):
         """Record the seconds from the arrival of work of a kind to its answer."""
@@ -49,10 +85,21 @@
                 self._samples.popitem(last=False)
         samples.append(seconds)
 
-    def find_longest(self, kind):
-        """Return the longest of the latest durations in seconds, inf when unknown."""
+    def find_longest(self, kind, now):
+        """Return the longest of the latest durations in seconds, inf when unknown.
+
+        Those that end first are the short ones. Where more than a few have been in
+        flight for longer than any that has ended, the next may take longer, too.
+        """
         samples = self._samples.get(kind, ())
-        return max(samples) if len(samples) >= MIN_SAMPLES else math.inf
+        if len(samples) < MIN_SAMPLES:
+            return math.inf
+        longest = max(samples)
+        longer = sum(
+            work.kind == kind and now - work.arrived_at > longest
+            for work in self._in_flight
+        )
+        return math.inf if longer * MAX_SAMPLES > len(samples) else longest
 
     def find_longest_of_all(self):
         """Return the longest of the latest durations of all kinds, 0 without any."""
@@ -98,7 +145,7 @@
         """
         if self.is_open:
             return True
-        longest = durations.find_longest(request.call)
+        longest = durations.find_longest(request.call, now)
         return self.try_accept(now, min(longest, request.deadline - now))
 
     def try_accept(self, now, seconds):
