Pass over a nested record of the product's own log too

A join record that another writer nests deeply raised RecursionError where daemons read the log of joins, and an announcement nested so was answered 500.

--- a/test/test_joins.py
+++ b/test/test_joins.py
@@ -15,7 +15,8 @@
         self.assertEqual(joins.decode_record(joins.encode_record(record)), record)
 
     def test_invalid_record_is_decoded_as_empty(self):
-        for data in (b"", b"\xff", b"[]", b'{"joined": [{}], "left": []}', b"3"):
+        deep = b"[" * 100_000
+        for data in (b"", b"\xff", b"[]", b'{"joined": [{}], "left": []}', b"3", deep):
             self.assertEqual(joins.decode_record(data), joins.JoinRecord())
 
     def test_record_names_companions_which_become_contacts(self):
--- a/whinwinch/backends/app.py
+++ b/whinwinch/backends/app.py
@@ -47,7 +47,7 @@
         return answers.build_findings_response(413, [Finding("body", problem)])
     try:
         announce(check_announcement(json.loads(http.body)))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return answers.build_findings_response(
             400, [Finding("body", f"is not valid JSON: {error}")]
         )
--- a/whinwinch/joins.py
+++ b/whinwinch/joins.py
@@ -90,7 +90,7 @@
         fields = json.loads(data)
         joined = tuple(_decode_endpoint(item) for item in fields["joined"])
         left = tuple(str(daemon) for daemon in fields["left"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return JoinRecord()
     return JoinRecord(joined, left)
 
--- a/whinwinch/logservice/client.py
+++ b/whinwinch/logservice/client.py
@@ -7,7 +7,6 @@
 """
 
 import base64
-import binascii
 import json
 from typing import NamedTuple
 
@@ -168,7 +167,7 @@
         fields = json.loads(body)
         records = tuple(_parse_record(record) for record in fields["records"])
         return Page(records, int(fields["first"]), int(fields["next"]))
-    except (ValueError, KeyError, TypeError, binascii.Error) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise LogUnavailable(f"invalid answer: {error!r}", False) from error
 
 
