--- a/test/backends/rawservers.py
+++ b/test/backends/rawservers.py
@@ -4,7 +4,7 @@
 
 from test import requests
 from whinwinch import callgraph, crashes, repeats, stopwindow
-from whinwinch.backends import guard
+from whinwinch.backends import guard, interface
 from whinwinch.http1.messages import find_header
 from whinwinch.platform import dialect
 from whinwinch.settings import Address
@@ -92,7 +92,7 @@
     limits = repeats.RepeatLimits(1.0, 1000.0, 10.0)
     built = guard.Guard(
         Address("127.0.0.1", port),
-        guard.Dialect(
+        interface.Dialect(
             dialect.format_backend_request,
             dialect.parse_backend_answer,
             dialect.is_answer_to,
@@ -108,7 +108,7 @@
         lambda identity: None,
         stopwindow.StopWindow(),
     )
-    built.install(guard.Backend(IDENTITY, "s", 50))
+    built.install(interface.Backend(IDENTITY, "s", 50))
     return built
 
 
--- a/test/backends/test_crashes.py
+++ b/test/backends/test_crashes.py
@@ -4,10 +4,10 @@
 import unittest
 
 from test import requests
-from whinwinch.backends import crashes, guard
+from whinwinch.backends import crashes, interface
 from whinwinch.settings import Address
 
-BACKEND = guard.Backend("i-1", "s", 2)
+BACKEND = interface.Backend("i-1", "s", 2)
 
 
 class CrashDetectorTest(unittest.IsolatedAsyncioTestCase):
--- a/test/backends/test_guard.py
+++ b/test/backends/test_guard.py
@@ -6,13 +6,13 @@
 
 from test import requests
 from whinwinch import callgraph, crashes, repeats, stopwindow
-from whinwinch.backends import guard
+from whinwinch.backends import guard, interface
 from whinwinch.http1 import messages as http
 from whinwinch.http1 import server
 from whinwinch.messages import Answer, Outcome, Reason, Refusal
 from whinwinch.settings import Address
 
-BACKEND = guard.Backend("i-1", "s", 2)
+BACKEND = interface.Backend("i-1", "s", 2)
 
 
 def form(request, left, identity):
@@ -30,7 +30,7 @@
         self.started = []
         self.ended = []
         self.crashes = []
-        self.notice = guard.Notice()
+        self.notice = interface.Notice()
         self.leaves = []
         self.endpoints = 2
         self.history = crashes.CrashHistory()
@@ -47,7 +47,7 @@
     def build_guard(self, port):
         return guard.Guard(
             Address("127.0.0.1", port),
-            guard.Dialect(
+            interface.Dialect(
                 form,
                 judge,
                 lambda request, response: True,
@@ -275,7 +275,7 @@
         """Guards against passing on more than the backend server names."""
         self.guard.install(BACKEND._replace(identity="i-9", slots=50))
         self.hold.set()
-        self.notice = guard.Notice(rate=4.0)
+        self.notice = interface.Notice(rate=4.0)
         await self.start("first")
         named_at = asyncio.get_running_loop().time()
         for number in range(10):
@@ -285,7 +285,7 @@
         self.assertLessEqual(len(self.started), 2 + 4.0 * seconds)
         self.assertFalse(self.guard.has_free_slot("s"))
         self.assertIn(Refusal("c", Reason.LIMIT), self.guard.refused)
-        self.notice = guard.Notice()
+        self.notice = interface.Notice()
         self.guard.install(BACKEND._replace(identity="i-10", slots=50))
         answers = await asyncio.gather(*(self.start(f"new{n}") for n in range(20)))
         self.assertEqual({each.outcome for each in answers}, {Outcome.COMPLETED})
@@ -293,7 +293,7 @@
     async def test_requests_wait_a_moment_for_a_named_limit(self):
         """Guards against refusing requests between two tokens."""
         self.hold.set()
-        self.notice = guard.Notice(rate=50.0)
+        self.notice = interface.Notice(rate=50.0)
         await self.start("first")
         for number in range(30):
             answer = await self.start(f"later{number}")
@@ -303,7 +303,7 @@
         """Guards against ending the next backend server for an old answer."""
         task = self.start("old")
         await self.wait_until(lambda: self.started)
-        self.notice = guard.Notice(leaving=True)
+        self.notice = interface.Notice(leaving=True)
         self.guard.install(BACKEND._replace(identity="i-2"))
         self.hold.set()
         await task
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from whinwinch.backends.guard import Notice
+from whinwinch.backends.interface import Notice
 from whinwinch.http1.messages import HttpRequest, HttpResponse, find_header
 from whinwinch.messages import Answer, Outcome, Reason, build_failure
 from whinwinch.platform import dialect
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -4,7 +4,7 @@
 import unittest.mock
 
 from whinwinch import directory
-from whinwinch.backends.guard import Backend
+from whinwinch.backends.interface import Backend
 from whinwinch.messages import Endpoint
 
 ONE = Endpoint("h:1", "h:1", "s", "a", "r", 4)
--- a/test/test_loadlog.py
+++ b/test/test_loadlog.py
@@ -7,7 +7,7 @@
 import unittest
 
 from whinwinch import events, gate, lanes, loadlog, messages, repeats
-from whinwinch.backends.guard import Backend
+from whinwinch.backends.interface import Backend
 from whinwinch.daemons import frames, traffic
 
 
--- a/whinwinch/backends/connections.py
+++ b/whinwinch/backends/connections.py
@@ -26,7 +26,7 @@
 
     Args:
         address: `settings.Address` of the backend server.
-        dialect: `guard.Dialect` of the backend server.
+        dialect: `interface.Dialect` of the backend server.
 
     Attributes:
         dropped_answers: Number of answers dropped because they belong to another
--- a/whinwinch/backends/crashes.py
+++ b/whinwinch/backends/crashes.py
@@ -16,7 +16,7 @@
 
     Args:
         address: `settings.Address` of the backend server.
-        handle_crash: Function called once for each crash, with the `guard.Backend`
+        handle_crash: Function called once for each crash, with the `interface.Backend`
             and the tuple of the `messages.Request` in flight.
     """
 
@@ -25,7 +25,7 @@
         self._address = address
         self._handle_crash = handle_crash
         self._in_flight = {}
-        # The `guard.Backend` that crashed last, None once one has answered.
+        # The `interface.Backend` that crashed last, None once one has answered.
         self._crashed = None
         self._check = None
 
--- a/whinwinch/directory.py
+++ b/whinwinch/directory.py
@@ -107,7 +107,7 @@
 
     Args:
         address: Address of its daemon.
-        backend: `backends.guard.Backend`, or None while none is announced.
+        backend: `backends.interface.Backend`, or None while none is announced.
         zone: Its availability zone.
         region: Its region.
     """
--- a/whinwinch/instance.py
+++ b/whinwinch/instance.py
@@ -25,7 +25,8 @@
     stopwindow,
     subsets,
 )
-from .backends.guard import Backend, Guard
+from .backends.guard import Guard
+from .backends.interface import Backend
 from .daemons import exchange, frames, links, relays, reporting, topics, traffic
 from .forwarding import Forwarder
 from .logservice import sources
@@ -104,7 +105,7 @@
     Args:
         location: `Location`.
         backend_address: `settings.Address` of the backend server.
-        dialect: `backends.guard.Dialect`.
+        dialect: `backends.interface.Dialect`.
         repeat_limits: `repeats.RepeatLimits` of all services.
         quota_terms: `workspaces.quotas.QuotaTerms` of all workspaces.
         handle_leave: Function called with the identifier of the local backend server
--- a/whinwinch/platform/dialect.py
+++ b/whinwinch/platform/dialect.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from ..backends.guard import Notice
+from ..backends.interface import Notice
 from ..http1.messages import (
     CONNECTION_HEADERS,
     HttpRequest,
--- a/whinwinch/platform/localbackend.py
+++ b/whinwinch/platform/localbackend.py
@@ -11,7 +11,7 @@
 
 from .. import events
 from ..announcements import Announcements, State
-from ..backends.guard import Backend
+from ..backends.interface import Backend
 from ..errors import InputErrors
 from ..http1.messages import HttpResponse
 from . import heartbeats, leaverecords
@@ -222,7 +222,7 @@
 
 
 def _build_backend(announcement):
-    """Return the `guard.Backend` of an `Announcement`, None if there is none."""
+    """Return the `interface.Backend` of an `Announcement`, None if there is none."""
     if announcement is None:
         return None
     return Backend(
--- a/whinwinch/platform/node.py
+++ b/whinwinch/platform/node.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from .. import events, gauges, messages, shutdown
-from ..backends.guard import Dialect
+from ..backends.interface import Dialect
 from ..errors import InputErrors, UserError
 from ..http1.messages import HttpResponse
 from ..http1.server import Limits, Server
@@ -20,8 +20,8 @@
     configuration,
     dialect,
     followers,
+    instancerecords,
     localbackend,
-    records,
     settings,
 )
 from .recordkeeping import INSTANCES_TOPIC, RecordKeeper
@@ -76,10 +76,6 @@
             await asyncio.sleep(TASK_RESTART_DELAY)
 
 
-def _log_unread(key, error):
-    events.write("record-unread", events.Message(f"{key}: {error}"))
-
-
 class Node:
     """One daemon on the platform.
 
@@ -320,50 +316,13 @@
         self._backend.leaves.note_read()
 
     def _apply_instance_records(self, changed):
-        self._backend.leaves.apply_records(changed)
-        for record in changed:
-            try:
-                self._apply_instance_record(record)
-            except Exception as error:
-                # Any program can write a record. The copy of the topic goes on behind
-                # this one, so those that follow would never be applied.
-                _log_unread(record.key, error)
-                if not isinstance(error, ValueError):
-                    logging.exception("a record could not be applied")
-        self._backend.install_deferred()
-        self._records.note_change()
-
-    def _apply_instance_record(self, record):
-        """Apply a record of the instances' topic.
-
-        Raises:
-            ValueError: When it isn't one of this release's records.
-        """
-        if record.key.startswith(records.LEAVE_PREFIX):
-            return
-        if record.key == records.GRAPH_KEY:
-            self._records.apply_topology(record.value)
-            return
-        if record.key.startswith(records.CRASH_PREFIX):
-            self._apply_crash(record)
-            return
-        endpoint = records.decode_endpoint(record.key, record.value)
-        self.instance.record_endpoint(record.key, endpoint)
-        is_own = record.key == self.instance.location.address
-        if is_own and endpoint is not None and endpoint.leaving_backend:
-            self._backend.suspect_leave(endpoint.leaving_backend)
+        instancerecords.apply_records(
+            changed, self.instance, self._backend, self._records
+        )
 
     def _is_first_reader(self):
         return self.instance.is_reader() and self.instance.reader_rank == 0
 
-    def _apply_crash(self, record):
-        history = self.instance.crash_history
-        if not record.value:
-            history.forget(record.key.removeprefix(records.CRASH_PREFIX))
-            return
-        crash = records.decode_crash(record.value)
-        history.apply(crash, asyncio.get_running_loop().time())
-
     def _reload_settings(self, cause):
         """Reload the settings file, and log which settings have changed.
 
