--- a/test/test_announcements.py
+++ b/test/test_announcements.py
@@ -200,6 +200,25 @@
         self.assertEqual(self.announcements.newest.start, leaving.start)
         self.assertFalse(self.announcements.gets_work("i-1"))
 
+    def test_start_that_drains_for_long_is_not_confirmed(self):
+        """Guards against a log line that says of a leaving start that it gets work."""
+        announce(self.announcements, LEAVING, 6)
+        self.assertIsNone(self.announcements.confirmed)
+        self.assertFalse(self.announcements.gets_work("i-1"))
+
+    def test_restored_leave_does_not_replace_a_later_one(self):
+        """Guards against an acknowledgement of what isn't recorded."""
+        self.announcements.apply_leave("i-1", 0, WALL_MS)
+        leave = self.announcements.find_leave("i-1")
+        self.announcements.restore_leaves((Leave("i-1", 50),))
+        self.assertEqual(self.announcements.find_leave("i-1"), leave)
+
+    def test_leave_of_an_earlier_start_beside_a_suspected_one_is_known(self):
+        """Guards against an error in the middle of an acknowledgement."""
+        self.announcements.suspect_leave("i-1")
+        self.assertFalse(self.announcements.apply_leave("i-1", 50, WALL_MS))
+        self.assertEqual(self.announcements.find_leave("i-1").start_time_ms, 50)
+
     def test_late_leave_of_the_start_in_effect_holds(self):
         """Guards against a leave that a later heartbeat overtakes."""
         self.apply(FIRST._replace(sequence=9))
--- a/whinwinch/announcements.py
+++ b/whinwinch/announcements.py
@@ -153,7 +153,9 @@
         is_newest = newest is not None and newest.identity == identity
         if is_newest and 0 < start_time_ms < newest.start_time_ms:
             # An earlier process with the same identifier has left.
-            self._departed.record(Leave(identity, start_time_ms))
+            leave = self._build_leave(Start(identity, start_time_ms))
+            self._departed.record(leave)
+            self._leaves.setdefault(identity, leave)
             return False
         self._live.clear()
         if start_time_ms:
@@ -200,7 +202,9 @@
         """
         self._suspected = ""
         for leave in leaves:
-            self._note_leave(self._leaving, leave)
+            self._leaving.record(leave)
+            self._leaves.setdefault(leave.identity, leave)
+            self._last_leave = leave
         if self._newest is not None and not self._is_leaving(self._newest.start):
             self._last_leave = None
 
@@ -257,7 +261,8 @@
         if start == self._confirmed:
             return ""
         doubt = self._find_doubt(start)
-        if not doubt and not self._is_presumed_leaving(start):
+        is_settled = self._leaving.contains(start)
+        if not doubt and (is_settled or not self._is_presumed_leaving(start)):
             self._live.clear()
             self._confirmed = None
             return ""
